Add design page, schemas, error kinds and interfaces

Cause: the repository is empty, and parts that are built side by side need shared contracts first. Conclusion: the parts can be built against these interfaces.

--- /dev/null
+++ b/src/clock/clock.ts
@@ -0,0 +1,32 @@
+/**
+ * The clock that the program uses, and its implementation over the operating system.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+
+/** A source of time. */
+export interface Clock {
+  /** Monotonic time in milliseconds. */
+  now(): number;
+  /** Wall-clock time in milliseconds since 1970; for records that people read, never for safety. */
+  wall(): number;
+  /** Resolves after the time, or at once when the signal aborts. */
+  sleep(ms: number, signal?: AbortSignal): Promise<void>;
+}
+
+/**
+ * The operating system's clock.
+ *
+ * @example
+ * await systemClock.sleep(50);
+ */
+export const systemClock: Clock = {
+  now: () => performance.now(),
+  wall: () => Date.now(),
+  async sleep(ms, signal) {
+    try {
+      await delay(ms, undefined, { signal });
+    } catch {
+      // An aborted sleep ends early; callers look at their own signal.
+    }
+  },
+};
--- /dev/null
+++ b/src/dispatch/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Lookups, jobs, gangs and services from request to answer.
+ */
+export * from './dispatch.ts';
--- /dev/null
+++ b/src/hosts/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * The platform's list of hosts.
+ */
+export * from './hosts.ts';
--- /dev/null
+++ b/src/limits/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Team upper limits as allotments per process.
+ */
+export * from './limits.ts';
--- /dev/null
+++ b/src/logs/mod.ts
@@ -0,0 +1,68 @@
+/**
+ * Structured logs: one pino logger per process, with a fixed prefix for each part.
+ */
+import { pino } from 'pino';
+
+/** The part of the program that a line comes from. */
+export const Part = {
+  Entry: 'entry',
+  Callers: 'callers',
+  Operators: 'operators',
+  Peers: 'peers',
+  Membership: 'membership',
+  Ownership: 'ownership',
+  Limits: 'limits',
+  Requests: 'requests',
+  Dispatch: 'dispatch',
+  Table: 'table',
+  Workers: 'workers',
+  Hosts: 'hosts',
+  Settings: 'settings',
+  Standin: 'standin',
+  Load: 'load',
+} as const;
+
+/** One of the values of {@link Part}. */
+export type Part = (typeof Part)[keyof typeof Part];
+
+/** Writes log lines for one part. */
+export interface Log {
+  debug(message: string, fields?: Record<string, unknown>): void;
+  info(message: string, fields?: Record<string, unknown>): void;
+  warn(message: string, fields?: Record<string, unknown>): void;
+  error(message: string, fields?: Record<string, unknown>): void;
+}
+
+/**
+ * Makes the function that gives each part its logger.
+ *
+ * @example
+ * const logs = makeLogs({ level: 'info', process: 'entry-1' });
+ * logs(Part.Table).warn('Table service timed out.', { afterMs: 600 });
+ */
+export function makeLogs(options: { level?: string; process?: string } = {}): (part: Part) => Log {
+  const { level = 'info', process: name = 'dogwood' } = options;
+  const root = pino({ level, base: { process: name } }, pino.destination({ fd: 2, sync: false }));
+  return (part) => {
+    const child = root.child({}, { msgPrefix: `${part}: ` });
+    return {
+      debug: (message, fields = {}) => child.debug(fields, message),
+      info: (message, fields = {}) => child.info(fields, message),
+      warn: (message, fields = {}) => child.warn(fields, message),
+      error: (message, fields = {}) => child.error(fields, message),
+    };
+  };
+}
+
+/**
+ * A log that writes nothing, for tests and benchmarks.
+ *
+ * @example
+ * const log = silentLog;
+ */
+export const silentLog: Log = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
--- /dev/null
+++ b/src/membership/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Membership: own row, heartbeat, expulsion, freshness and promises.
+ */
+export * from './membership.ts';
--- /dev/null
+++ b/src/objects/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * The platform's object store.
+ */
+export * from './objects.ts';
--- /dev/null
+++ b/src/ownership/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Ownership of workers and job partitions.
+ */
+export * from './ownership.ts';
--- /dev/null
+++ b/src/peers/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Messages between entry processes.
+ */
+export * from './peers.ts';
--- /dev/null
+++ b/src/peers/peers.ts
@@ -0,0 +1,53 @@
+/**
+ * The messages between entry processes. The same interface is implemented by the client of a peer
+ * and by the handlers that answer peers.
+ */
+import type { Outcome } from '../errors/mod.ts';
+import type {
+  AttemptAnswer,
+  AttemptQuestion,
+  Change,
+  ChangesQuestion,
+  CommitAnswer,
+  CommitQuestion,
+  EndedAnswer,
+  EndedQuestion,
+  FreshAnswer,
+  FreshQuestion,
+  HandedLookup,
+  HoldAnswer,
+  HoldQuestion,
+  LookupAnswer,
+  Member,
+  ReleaseQuestion,
+  StopQuestion,
+  WitnessAnswer,
+  WitnessQuestion,
+} from '../schema/mod.ts';
+
+/** Limits on one call. */
+export interface CallOptions {
+  timeoutMs?: number;
+  signal?: AbortSignal;
+}
+
+/**
+ * What one entry process can ask of another. A call fails with `peer-unavailable` when the peer
+ * certainly did not get it, with `outcome-unknown` when it may have, or with the peer's own failure.
+ */
+export interface Peer {
+  fresh(question: FreshQuestion, options?: CallOptions): Outcome<FreshAnswer>;
+  lookup(question: HandedLookup, options?: CallOptions): Outcome<LookupAnswer>;
+  witness(question: WitnessQuestion, options?: CallOptions): Outcome<WitnessAnswer>;
+  hold(question: HoldQuestion, options?: CallOptions): Outcome<HoldAnswer>;
+  commit(question: CommitQuestion, options?: CallOptions): Outcome<CommitAnswer>;
+  release(question: ReleaseQuestion, options?: CallOptions): Outcome<void>;
+  stop(question: StopQuestion, options?: CallOptions): Outcome<void>;
+  ended(question: EndedQuestion, options?: CallOptions): Outcome<EndedAnswer>;
+  attempt(question: AttemptQuestion, options?: CallOptions): Outcome<AttemptAnswer>;
+  changes(question: ChangesQuestion, options?: CallOptions): Outcome<Change[]>;
+  status(question: { section?: string }, options?: CallOptions): Outcome<unknown>;
+}
+
+/** Gives the client of a member; connections are kept and shared. */
+export type Peers = (member: Pick<Member, 'id' | 'address' | 'port'>) => Peer;
--- /dev/null
+++ b/src/pool/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * The workers that a process owns.
+ */
+export * from './pool.ts';
--- /dev/null
+++ b/src/settings/mod.ts
@@ -0,0 +1,5 @@
+/**
+ * The settings tree: files, checks, versions and the settings in force.
+ */
+export * from './fleet.ts';
+export * from './settings.ts';
--- /dev/null
+++ b/src/workers/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * The worker protocol.
+ */
+export * from './workers.ts';
