Add the pool of owned workers

Cause: starts need one place that accounts for room, units of team limits and leases, and that makes the last checks before a start is sent. Change: src/pool with reservations, starts, one held-open renewal per worker, reconciliation by list, lost tasks after lease and margin, and enforcement of lowered limits. A renewal carries notAfterMs, so that one delayed in the network extends no lease; an unreachable worker is probed with list for the same reason. An attempt reported as absent can't be started later. The virtual clock removes abort listeners of timers that fired. Conclusion: the pool can be wired to ownership, settings and limits.

--- a/src/clock/virtual_clock.ts
+++ b/src/clock/virtual_clock.ts
@@ -49,14 +49,16 @@
         order += 1;
         const timer: Timer = { at: now + Math.max(0, ms), order, fire: resolve };
         timers.push(timer);
-        signal?.addEventListener(
-          'abort',
-          () => {
-            timers = timers.filter((other) => other !== timer);
-            resolve();
-          },
-          { once: true },
-        );
+        if (!signal) return;
+        const onAbort = () => {
+          timers = timers.filter((other) => other !== timer);
+          resolve();
+        };
+        timer.fire = () => {
+          signal.removeEventListener('abort', onAbort);
+          resolve();
+        };
+        signal.addEventListener('abort', onAbort, { once: true });
       });
     },
     async advance(ms) {
--- /dev/null
+++ b/src/pool/_state.ts
@@ -0,0 +1,110 @@
+/**
+ * The pool's own record of each owned worker, and what it receives from the rest of the process.
+ */
+import type { Clock, Random } from '../clock/mod.ts';
+import type { PlacementIndex } from '../decisions/mod.ts';
+import type { Invariants } from '../invariants/mod.ts';
+import type { Limits } from '../limits/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import type { Membership } from '../membership/mod.ts';
+import type { Metrics } from '../metrics/mod.ts';
+import type { Ownership } from '../ownership/mod.ts';
+import type { Ended, Size, Upstream } from '../schema/mod.ts';
+import type { Settings } from '../settings/mod.ts';
+import type { Workers } from '../workers/mod.ts';
+import type { PooledTask, Reservation } from './pool.ts';
+
+/** Collaborators of the pool. */
+export interface PoolParts {
+  clock: Clock;
+  random: Random;
+  workers: Workers;
+  placement: PlacementIndex;
+  limits: Limits;
+  invariants: Invariants;
+  membership: Pick<Membership, 'freshUntil'>;
+  settings: Pick<Settings, 'current' | 'subscribe'>;
+  ownership: Pick<Ownership, 'subscribe' | 'lost'>;
+  log: Log;
+  metrics: Metrics;
+  /** Called with the outcome of each attempt, for quarantine. */
+  onAttempt?: (outcome: { worker: string; ok: boolean; runMs: number; kind: string }) => void;
+  /** Quarantine level of a worker. */
+  penalty?: (worker: string) => number;
+}
+
+/** A task as the pool accounts it. */
+export interface HeldTask extends PooledTask {
+  /** When the worker confirmed it, by this process's clock. */
+  confirmedAt?: number;
+  /** The start got no answer; it cannot begin after this time. */
+  uncertainUntil?: number;
+}
+
+/** An owned worker. */
+export interface Entry {
+  upstream: Upstream;
+  epoch: number;
+  capacity: Size;
+  used: Size;
+  tasks: Map<string, HeldTask>;
+  reservations: Map<string, Reservation>;
+  /** The worker's clock as last answered, and when the answer arrived. */
+  workerClock: { ms: number; at: number };
+  /** No task of the worker runs after this time unless a renewal or start is sent again. */
+  leaseUntil: number;
+  reachable: boolean;
+  leaving: boolean;
+  outstanding: number;
+  latencyMs: number;
+  acknowledged: Set<string>;
+  lastListAt: number;
+  resolving: boolean;
+  closed: AbortController;
+}
+
+/** An ended task that waits for its acknowledgement. */
+export interface EndedEntry {
+  ended: Ended;
+  notifiedAt: number;
+}
+
+/** Everything that the pool remembers. */
+export interface PoolState {
+  parts: PoolParts;
+  entries: Map<string, Entry>;
+  ended: Map<string, EndedEntry>;
+  /** Tasks that ended lately, with the attempt; a list asked before the end may still show them. */
+  recent: Map<string, { attempt: number; at: number }>;
+  /** Attempts that were answered as absent and must not start any more. */
+  barred: Map<string, { attempt: number; at: number }>;
+  endedObservers: ((ended: Ended[]) => void)[];
+  roomObservers: (() => void)[];
+  nextId: () => string;
+  closed: AbortController;
+}
+
+/** How long ended and barred attempts are remembered; delayed messages are far younger. */
+export const memoryMs = 120_000;
+
+export function leaseMs(state: PoolState): number {
+  return state.parts.settings.current().policy.leaseMs;
+}
+
+export function findTask(state: PoolState, task: string): [Entry, HeldTask] | undefined {
+  for (const entry of state.entries.values()) {
+    const held = entry.tasks.get(task);
+    if (held) return [entry, held];
+  }
+  return undefined;
+}
+
+/** Notes that the worker runs the task. */
+export function confirm(held: HeldTask, now: number): void {
+  const { confirmedAt = now, state } = held;
+  Object.assign(held, {
+    confirmedAt,
+    uncertainUntil: undefined,
+    state: state === 'starting' ? 'running' : state,
+  });
+}
--- a/src/pool/mod.ts
+++ b/src/pool/mod.ts
@@ -2,3 +2,5 @@
  * The workers that a process owns.
  */
 export * from './pool.ts';
+export * from './make_pool.ts';
+export type { PoolParts } from './_state.ts';
--- a/src/pool/pool.ts
+++ b/src/pool/pool.ts
@@ -48,7 +48,10 @@
     options?: { timeoutMs?: number; signal?: AbortSignal },
   ): Outcome<StartAnswer>;
   stop(task: string, mode: 'stop' | 'checkpoint' | 'throttle'): Outcome<void>;
-  /** What is certain about an attempt. */
+  /**
+   * What is certain about an attempt. After the answer `absent` a start of this attempt is refused,
+   * so that a delayed request cannot run it later.
+   */
   attempt(
     task: string,
     attempt: number,
@@ -58,4 +61,12 @@
   /** Ended tasks wait here until acknowledged; the observer is called again for those that are not. */
   onEnded(observer: (ended: Ended[]) => void): void;
   acknowledge(tasks: string[]): void;
+  /** Calls the observer when room or a unit of a team's limit may have become free. */
+  onRoom(observer: () => void): void;
+  /** Free slots on the workers that accept work. */
+  freeSlots(): number;
+  /** State for the state dump. */
+  dump(): unknown;
+  /** Ends renewals and timers; running tasks keep the rest of their leases. */
+  close(): void;
 }
--- a/src/schema/_generated/types.ts
+++ b/src/schema/_generated/types.ts
@@ -100,6 +100,10 @@
    * The worker may hold the answer back for this long while no task changes.
    */
   waitMs?: number;
+  /**
+   * The worker refuses the renewal when its own monotonic clock is past this, so that a delayed one extends no lease.
+   */
+  notAfterMs?: number;
 }
 export interface RenewAnswer {
   changed: RunningTask[];
@@ -222,10 +226,15 @@
   team: string;
   request: string;
   claimant: string;
+  /**
+   * Asks the claimant's own process for the answer that it still keeps; claims nothing.
+   */
+  recall?: boolean;
   membership: number;
 }
 export interface WitnessAnswer {
   verdict: 'first' | 'repeat' | 'other-view';
+  answer?: LookupAnswer;
   claimant?: string;
 }
 /**
@@ -301,13 +310,17 @@
   hold: string;
 }
 /**
- * Asks a worker owner to stop tasks.
+ * Asks a worker owner to stop tasks, or the owner of their partitions to cancel jobs.
  */
 export interface StopQuestion {
   tasks: {
     task: string;
     worker: string;
   }[];
+  /**
+   * Jobs to cancel, by the owner of their partitions.
+   */
+  jobs?: string[];
   mode: 'stop' | 'checkpoint' | 'throttle';
 }
 /**
@@ -399,6 +412,10 @@
   epoch: number;
   state: 'starting' | 'running' | 'finished' | 'failed' | 'stopped' | 'lost';
   message?: string;
+  /**
+   * Attempts of this task that failed or were lost; stops by the scheduler do not count.
+   */
+  failures?: number;
 }
 /**
  * Row `jobs/{partition}/{id}`: a batch job, gang or service.
