Add messages between entry processes over trpc

Cause: work is handed over, held and reported between entry processes, and the caller must know whether a failed call may have taken effect.

--- /dev/null
+++ b/src/peers/peers_test.ts
@@ -0,0 +1,149 @@
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import { connect, createServer as createTcpServer } from 'node:net';
+import type { AddressInfo, Server as TcpServer } from 'node:net';
+
+import { Right } from 'purify-ts';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { systemClock } from '../clock/mod.ts';
+import { Kind, refuse } from '../errors/mod.ts';
+import type { HandedLookup } from '../schema/mod.ts';
+import { makePeerClients, makePeerHandler, peerKeepAliveMs } from './mod.ts';
+import type { Peer } from './mod.ts';
+
+const lookup: HandedLookup = {
+  id: 'l1',
+  team: 'a',
+  queue: 'main',
+  size: { processors: 1, memoryMb: 100, accelerators: 0, slots: 1 },
+  remainingMs: 1_500,
+  estimateMs: 20,
+  idempotent: false,
+  body: { q: 'x' },
+  settings: 7,
+};
+
+const handlers: Peer = {
+  fresh: async () => Right({ verdict: 'promise', settings: 7 }),
+  lookup: async ({ id, body }, { signal } = {}) => {
+    if (id === 'slow') await systemClock.sleep(5_000, signal);
+    return Right({ id, worker: 'w1', waitMs: 1, runMs: 2, body });
+  },
+  witness: async () => Right({ verdict: 'first' }),
+  hold: async () => refuse(Kind.TeamLimit, 'no unit', { retryAfterMs: 70, expected: 3 }),
+  commit: async () => Right({ tasks: [] }),
+  release: async () => Right(undefined),
+  stop: async () => Right(undefined),
+  ended: async () => Right({ recorded: [] }),
+  attempt: async () => Right({ state: 'absent' }),
+  changes: async () => Right([]),
+  status: async () => Right({}),
+};
+
+const port = (server: Server | TcpServer) => (server.address() as AddressInfo).port;
+const listen = (server: Server | TcpServer) =>
+  new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+
+async function setUp() {
+  const server = createServer(
+    { keepAliveTimeout: peerKeepAliveMs },
+    makePeerHandler(handlers, { room: () => 41 }),
+  );
+  await listen(server);
+  const bytes = { up: 0, down: 0 };
+  const relay = createTcpServer((socket) => {
+    const onward = connect(port(server), '127.0.0.1');
+    socket.on('data', (chunk) => {
+      bytes.up += chunk.length;
+      onward.write(chunk);
+    });
+    onward.on('data', (chunk) => {
+      bytes.down += chunk.length;
+      socket.write(chunk);
+    });
+    socket.on('close', () => onward.destroy());
+    socket.on('error', () => onward.destroy());
+    onward.on('error', () => socket.destroy());
+  });
+  await listen(relay);
+  const rooms: number[] = [];
+  const clients = makePeerClients({
+    clock: systemClock,
+    onRoom: (_member, room) => rooms.push(room),
+  });
+  const peer = clients.peers({ id: 'm2', address: '127.0.0.1', port: port(relay) });
+  const close = async () => {
+    await clients.close();
+    relay.close();
+    server.closeAllConnections();
+    server.close();
+  };
+  return { peer, bytes, close, rooms, clients };
+}
+
+test('a failure whose kind is lost on the wire would be answered wrongly', async () => {
+  const { peer, close, rooms } = await setUp();
+  const need = {
+    team: 'a',
+    queue: 'main',
+    kind: 'batch',
+    size: lookup.size,
+    estimateMs: 1,
+  } as const;
+  const held = await peer.hold({ hold: 'h', job: 'j', need, count: 1, settings: 7 });
+  assert.equal(held.swap().unsafeCoerce(), {
+    kind: Kind.TeamLimit,
+    message: 'no unit',
+    retryAfterMs: 70,
+    expected: 3,
+  });
+  assert.equal((await peer.lookup(lookup)).unsafeCoerce().body, { q: 'x' });
+  assert.ok((await peer.release({ hold: 'h' })).isRight());
+  const wrong = await peer.attempt({ task: 't' } as never);
+  assert.is(wrong.swap().unsafeCoerce().kind, Kind.MalformedRequest);
+  assert.equal(rooms, [41, 41, 41, 41]);
+  await close();
+});
+
+test('"peer-unavailable" after a byte was sent would let a lookup run twice', async () => {
+  const { peer, close, clients } = await setUp();
+  const slow = await peer.lookup({ ...lookup, id: 'slow' }, { timeoutMs: 100 });
+  assert.is(slow.swap().unsafeCoerce().kind, Kind.OutcomeUnknown);
+  const stop = new AbortController();
+  stop.abort();
+  const given = await peer.lookup(lookup, { signal: stop.signal });
+  assert.is(given.swap().unsafeCoerce().kind, Kind.PeerUnavailable);
+  const nobody = createTcpServer();
+  await listen(nobody);
+  const closed = port(nobody);
+  await new Promise((resolve) => {
+    nobody.close(resolve);
+  });
+  const away = await clients.peers({ id: 'm3', address: '127.0.0.1', port: closed }).lookup(lookup);
+  assert.is(away.swap().unsafeCoerce().kind, Kind.PeerUnavailable);
+  const rude = createTcpServer((socket) => socket.once('data', () => socket.destroy()));
+  await listen(rude);
+  const cut = await clients
+    .peers({ id: 'm4', address: '127.0.0.1', port: port(rude) })
+    .lookup(lookup);
+  assert.is(cut.swap().unsafeCoerce().kind, Kind.OutcomeUnknown);
+  rude.close();
+  await close();
+});
+
+test('calls above 1,000 bytes, headers included, would use up the control budget', async () => {
+  const { peer, bytes, close } = await setUp();
+  const question = { member: 'm1', settings: 7, membership: 3 };
+  await peer.fresh(question);
+  const before = { ...bytes };
+  for (let i = 0; i < 10; i++) await peer.fresh(question);
+  const perCall = (bytes.up + bytes.down - before.up - before.down) / 10;
+  assert.ok(perCall < 500, `${perCall} bytes for each call`);
+  await close();
+});
+
+test.run();
--- /dev/null
+++ b/src/peers/router.ts
@@ -0,0 +1,112 @@
+/**
+ * The router that answers peers. Every procedure is a mutation, so that questions travel in bodies.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { initTRPC } from '@trpc/server';
+import { createHTTPHandler } from '@trpc/server/adapters/standalone';
+import type { Either } from 'purify-ts';
+
+import type { Failure, Outcome } from '../errors/mod.ts';
+import type {
+  AttemptQuestion,
+  ChangesQuestion,
+  CommitQuestion,
+  EndedQuestion,
+  FreshQuestion,
+  HandedLookup,
+  HoldQuestion,
+  ReleaseQuestion,
+  StopQuestion,
+  Validator,
+  WitnessQuestion,
+} from '../schema/mod.ts';
+import { decode, validators } from '../schema/mod.ts';
+import type { CallOptions, Peer } from './peers.ts';
+
+/** An answer on the wire: the value or the failure, and the free slots of the process that answers. */
+export interface Envelope {
+  value?: unknown;
+  failure?: Failure;
+  room: number;
+}
+
+const maxBodyBytes = 16 * 1024 * 1024;
+
+/** The path below which peers are answered. */
+export const peerPath = '/p/';
+
+/** How long a server must keep idle connections; clients close theirs earlier. */
+export const peerKeepAliveMs = 75_000;
+
+const statusValidator: Validator = (value) =>
+  typeof value === 'object' &&
+  value !== null &&
+  ['undefined', 'string'].includes(typeof (value as { section?: unknown }).section);
+
+const trpc = initTRPC.create();
+
+/**
+ * Makes the router of the handlers.
+ *
+ * @example
+ * const router = makePeerRouter(handlers, { room: () => pool.freeSlots() });
+ */
+export function makePeerRouter(peer: Peer, { room }: { room: () => number }) {
+  const answer = <Q, A>(
+    validator: unknown,
+    handle: (question: Q, options: CallOptions) => Outcome<A>,
+  ) =>
+    trpc.procedure
+      .input((raw: unknown): Either<Failure, Q> => decode<Q>(validator, raw))
+      .mutation(async ({ input, signal }): Promise<Envelope> => {
+        const outcome = await input.caseOf({
+          Left: () => Promise.resolve(input as Either<Failure, never>),
+          Right: (question): Promise<Either<Failure, A>> =>
+            handle(question, signal ? { signal } : {}),
+        });
+        return outcome.caseOf<Envelope>({
+          Left: (failure) => ({ failure, room: room() }),
+          Right: (value) => ({ value, room: room() }),
+        });
+      });
+  return trpc.router({
+    fresh: answer<FreshQuestion, unknown>(validators.validateFreshQuestion, peer.fresh),
+    lookup: answer<HandedLookup, unknown>(validators.validateHandedLookup, peer.lookup),
+    witness: answer<WitnessQuestion, unknown>(validators.validateWitnessQuestion, peer.witness),
+    hold: answer<HoldQuestion, unknown>(validators.validateHoldQuestion, peer.hold),
+    commit: answer<CommitQuestion, unknown>(validators.validateCommitQuestion, peer.commit),
+    release: answer<ReleaseQuestion, unknown>(validators.validateReleaseQuestion, peer.release),
+    stop: answer<StopQuestion, unknown>(validators.validateStopQuestion, peer.stop),
+    ended: answer<EndedQuestion, unknown>(validators.validateEndedQuestion, peer.ended),
+    attempt: answer<AttemptQuestion, unknown>(validators.validateAttemptQuestion, peer.attempt),
+    changes: answer<ChangesQuestion, unknown>(validators.validateChangesQuestion, peer.changes),
+    status: answer<{ section?: string }, unknown>(statusValidator, peer.status),
+  });
+}
+
+/** The type of the router, for the client. */
+export type PeerRouter = ReturnType<typeof makePeerRouter>;
+
+/**
+ * Makes the request listener for paths below {@link peerPath}. The server that uses it keeps idle
+ * connections for {@link peerKeepAliveMs}.
+ *
+ * @example
+ * http.createServer({ keepAliveTimeout: peerKeepAliveMs }, makePeerHandler(handlers, { room }));
+ */
+export function makePeerHandler(
+  peer: Peer,
+  options: { room: () => number },
+): (request: IncomingMessage, response: ServerResponse) => void {
+  const handler = createHTTPHandler({
+    router: makePeerRouter(peer, options),
+    basePath: peerPath,
+    maxBodySize: maxBodyBytes,
+  });
+  return (request, response) => {
+    // Control traffic has a budget per node, and peers don't read the date.
+    Object.assign(response, { sendDate: false });
+    handler(request, response);
+  };
+}
