Add lookups from request to answer

Cause: urgent lookups need a path without table writes that never runs a non-idempotent request twice and refuses only what certainly did not run. Change: lookups with earliest deadline first, hand-over to a peer chosen by the free room that answers carry, one retry of idempotent lookups within a budget, and the assertions at-most-once and not-run. Lookups whose answer was lost keep their room until the worker no longer lists them. Conclusion: ready for the wiring; request claims are an interface so far.

--- /dev/null
+++ b/src/dispatch/_feasibility.ts
@@ -0,0 +1,82 @@
+/**
+ * What the configured fleet could hold at all, and how requests become needs.
+ */
+import { Left, Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import { Kind, failure } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
+import type { RequestedSize, Size, Upstream, WorkKind } from '../schema/mod.ts';
+import type { Fleet, Queue } from '../settings/mod.ts';
+
+const defaultSize: Size = { processors: 1, memoryMb: 512, accelerators: 0, slots: 1 };
+
+export function fullSize(size: RequestedSize = {}): Size {
+  return { ...defaultSize, ...size };
+}
+
+/** How many tasks of the size an empty worker holds. */
+export function countOn({ capacity }: Pick<Upstream, 'capacity'>, size: Size): number {
+  const per = (room: number, each: number) =>
+    each > 0 ? Math.floor(room / each + 1e-6) : Infinity;
+  return Math.min(
+    per(capacity.slots, size.slots),
+    per(capacity.processors, size.processors),
+    per(capacity.memoryMb, size.memoryMb),
+    per(capacity.accelerators, size.accelerators),
+  );
+}
+
+/** Workers that a queue may use. */
+export function upstreamsFor(
+  fleet: Fleet,
+  { dataCentres }: Pick<Queue, 'dataCentres'>,
+): Upstream[] {
+  return Object.values(fleet.upstreams).filter(
+    ({ dataCentre }) => dataCentres.length === 0 || dataCentres.includes(dataCentre),
+  );
+}
+
+/** The queue that work asks for, if it takes this kind. */
+export function findQueue(
+  fleet: Fleet,
+  { team, queue, kind }: { team: string; queue: string; kind: WorkKind },
+): Either<Failure, Queue> {
+  const settings = fleet.teams[team];
+  if (!settings) return Left(failure(Kind.TeamUnknown, `team ${team} is not in the settings`));
+  const found = settings.queues[queue];
+  if (!found) return Left(failure(Kind.QueueUnknown, `team ${team} has no queue ${queue}`));
+  if (!found.kinds.includes(kind)) {
+    return Left(
+      failure(Kind.QueueUnknown, `queue ${queue} takes no ${kind}`, {
+        got: kind,
+        expected: found.kinds,
+      }),
+    );
+  }
+  return Right(found);
+}
+
+/** Refuses a size that no configured worker could hold. */
+export function checkSize(fleet: Fleet, { queue, size }: { queue: Queue; size: Size }) {
+  const upstreams = upstreamsFor(fleet, queue);
+  if (upstreams.some((upstream) => countOn(upstream, size) >= 1)) return Right(queue);
+  return Left(
+    failure(Kind.SizeInfeasible, 'no configured worker could hold the task, even when empty', {
+      got: size,
+    }),
+  );
+}
+
+/** How many tasks one domain of a gang could hold at most. */
+export function largestDomain(
+  upstreams: Upstream[],
+  { size, across }: { size: Size; across: 'rack' | 'data-centre' | 'fleet' },
+): number {
+  const domains = new Map<string, number>();
+  upstreams.forEach((upstream) => {
+    const domain = { rack: upstream.rack, 'data-centre': upstream.dataCentre, fleet: '' }[across];
+    domains.set(domain, (domains.get(domain) ?? 0) + countOn(upstream, size));
+  });
+  return Math.max(0, ...domains.values());
+}
--- /dev/null
+++ b/src/dispatch/_lookup_rules.ts
@@ -0,0 +1,69 @@
+/**
+ * The rules of a lookup's tries: what may be sent again, and which failure the caller hears.
+ */
+import { Kind, failure, isNotRun } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
+import type { Need, Size } from '../schema/mod.ts';
+
+/** A lookup on its way to an answer. */
+export interface Lookup {
+  id: string;
+  need: Need;
+  size: Size;
+  body: unknown;
+  idempotent: boolean;
+  arrivedAt: number;
+  /** The lookup starts by then or is refused. */
+  deadlineAt: number;
+  signal?: AbortSignal;
+  /** Handed over by a peer; it isn't handed on. */
+  handed: boolean;
+}
+
+/** Tries of one lookup so far. */
+export interface Tries {
+  sent: number;
+  /** Workers and peers that were tried. */
+  workers: string[];
+  peers: Set<string>;
+  /** Set once a try may have run; a later refusal doesn't change that. */
+  unknown?: Failure;
+}
+
+// No byte of these starts was sent to a worker.
+const neverSent: ReadonlySet<string> = new Set([
+  Kind.NotOwner,
+  Kind.WorkerUnreachable,
+  Kind.DataCentreOut,
+]);
+
+// The worker got the start and refused it.
+const reachedWorker: ReadonlySet<string> = new Set([Kind.WorkerRefused, Kind.EpochStale]);
+
+/** True when a lookup may be sent to another worker after the failure. */
+export function mayResend({ kind }: Failure, { idempotent }: Pick<Lookup, 'idempotent'>): boolean {
+  if (neverSent.has(kind)) return true;
+  return idempotent && (kind === Kind.OutcomeUnknown || reachedWorker.has(kind));
+}
+
+/** True when a lookup may be handed to one more peer after a peer's failure. */
+export function mayHandOn(failed: Failure, { idempotent }: Pick<Lookup, 'idempotent'>): boolean {
+  return isNotRun(failed) && (idempotent || !reachedWorker.has(failed.kind));
+}
+
+/** True when the failure only says that there is no place now. */
+export function isShortage({ kind }: Failure): boolean {
+  return kind === Kind.NoRoom || kind === Kind.TeamLimit;
+}
+
+/** The failure that is true for all tries together. */
+export function finalFailure({ unknown }: Tries, failed: Failure): Failure {
+  if (unknown && isNotRun(failed)) return unknown;
+  return failed;
+}
+
+/** Brings failures between own parts into the terms of the caller. */
+export function forCaller(failed: Failure): Failure {
+  if (failed.kind !== Kind.EpochStale) return failed;
+  return failure(Kind.WorkerRefused, failed.message, { retryAfterMs: 1_000 });
+}
--- /dev/null
+++ b/src/dispatch/_lookup_run.ts
@@ -0,0 +1,182 @@
+/**
+ * The tries of a lookup: here, at a peer, or here after waiting.
+ */
+import { Left, Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import type { Clock, Random } from '../clock/mod.ts';
+import { Kind, failure, isNotRun } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
+import { Invariant } from '../invariants/mod.ts';
+import type { Invariants } from '../invariants/mod.ts';
+import type { Limits } from '../limits/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import type { Membership } from '../membership/mod.ts';
+import type { Metrics } from '../metrics/mod.ts';
+import type { Peers } from '../peers/mod.ts';
+import type { Pool, Reservation } from '../pool/mod.ts';
+import type { Requests } from '../requests/mod.ts';
+import type { LookupAnswer, Need } from '../schema/mod.ts';
+import type { Settings } from '../settings/mod.ts';
+import type { DeadlineQueue } from './_deadline_queue.ts';
+import { finalFailure, forCaller, isShortage, mayHandOn, mayResend } from './_lookup_rules.ts';
+import type { Lookup, Tries } from './_lookup_rules.ts';
+import type { PeerChoice } from './peer_choice.ts';
+import type { RetryBudget } from './retry_budget.ts';
+
+/** Collaborators of the lookups. */
+export interface LookupParts {
+  clock: Clock;
+  random: Random;
+  pool: Pool;
+  peers: Peers;
+  peerChoice: PeerChoice;
+  requests: Requests;
+  membership: Pick<Membership, 'id' | 'phase' | 'isFresh'>;
+  settings: Pick<Settings, 'current'>;
+  limits: Pick<Limits, 'held' | 'want'>;
+  invariants: Invariants;
+  log: Log;
+  metrics: Metrics;
+  /** Longest run of a lookup. */
+  runTimeoutMs?: number;
+}
+
+/** What the tries of all lookups share. */
+export interface LookupState extends LookupParts {
+  runTimeoutMs: number;
+  queue: DeadlineQueue & { ended(): void };
+  budget: RetryBudget;
+}
+
+const maxHandOvers = 3;
+
+async function runHere(
+  state: LookupState,
+  { lookup, tries, place }: { lookup: Lookup; tries: Tries; place: Reservation },
+): Outcome<LookupAnswer> {
+  const { clock, pool, invariants, metrics, runTimeoutMs } = state;
+  const { id, need, idempotent, body, arrivedAt, signal } = lookup;
+  invariants.check(
+    Invariant.AtMostOnce,
+    idempotent || tries.unknown === undefined,
+    () => `lookup ${id} is not idempotent and is sent again`,
+  );
+  Object.assign(tries, { sent: tries.sent + 1 });
+  tries.workers.push(place.place.worker);
+  const waitMs = clock.now() - arrivedAt;
+  metrics.timing('lookup.wait', waitMs, { team: need.team });
+  // A second try is a task of its own, because the first one may still run.
+  const task = tries.sent === 1 ? id : `${id}~${tries.sent}`;
+  const answer = await pool.start(
+    place,
+    { task, attempt: 1, job: id, idempotent, body },
+    { timeoutMs: runTimeoutMs, ...(signal ? { signal } : {}) },
+  );
+  state.queue.ended();
+  if (signal?.aborted) await pool.stop(task, 'stop');
+  return answer.chain((value) =>
+    value.status === 'finished'
+      ? Right({
+          id,
+          worker: place.place.worker,
+          waitMs,
+          runMs: value.runMs ?? clock.now() - arrivedAt - waitMs,
+          ...(value.body === undefined ? {} : { body: value.body }),
+        })
+      : Left(failure(Kind.TaskFailed, value.message ?? 'the lookup failed on its worker')),
+  );
+}
+
+async function handOver(
+  state: LookupState,
+  { lookup, tries }: { lookup: Lookup; tries: Tries },
+): Promise<Either<Failure, LookupAnswer> | undefined> {
+  const { clock, peers, peerChoice, settings, runTimeoutMs, metrics } = state;
+  const { id, need, size, idempotent, body, deadlineAt, signal } = lookup;
+  const member = peerChoice.choose(need.team, tries.peers);
+  if (!member) return undefined;
+  tries.peers.add(member.id);
+  const remainingMs = deadlineAt - clock.now();
+  metrics.count('lookup.handed');
+  const answer = await peers(member).lookup(
+    {
+      id: tries.unknown ? `${id}~${tries.sent + 1}` : id,
+      team: need.team,
+      queue: need.queue,
+      size,
+      remainingMs,
+      estimateMs: need.estimateMs,
+      idempotent,
+      body,
+      settings: settings.current().version,
+    },
+    { timeoutMs: remainingMs + runTimeoutMs, ...(signal ? { signal } : {}) },
+  );
+  answer.ifLeft((failed) => {
+    if (isNotRun(failed)) peerChoice.refused(member.id, need.team);
+    else Object.assign(tries, { sent: tries.sent + 1 });
+  });
+  return answer.map((value) => ({ ...value, id }));
+}
+
+/** One try: here, at a peer, or here after waiting. */
+async function attempt(
+  state: LookupState,
+  { lookup, tries }: { lookup: Lookup; tries: Tries },
+): Outcome<LookupAnswer> {
+  const { pool, limits, queue, clock } = state;
+  const need: Need = { ...lookup.need, avoidWorkers: tries.workers };
+  const place = pool.reserve(need);
+  const reservation = place.toMaybe().extract();
+  if (reservation) return runHere(state, { lookup, tries, place: reservation });
+  const shortage = place.swap().unsafeCoerce();
+  if (!isShortage(shortage)) return Left(shortage);
+  if (shortage.kind === Kind.TeamLimit) limits.want(need.team, 1).catch(() => undefined);
+  let { deadlineAt } = lookup;
+  if (lookup.handed) {
+    // Waiting here makes sense when this process holds the team's units, or room comes soon.
+    if (shortage.kind === Kind.TeamLimit && limits.held(need.team) === 0) return Left(shortage);
+    if (shortage.kind === Kind.NoRoom) deadlineAt = (deadlineAt + clock.now()) / 2;
+  } else {
+    for (let i = 0; i < maxHandOvers && clock.now() < deadlineAt; i++) {
+      const answer = await handOver(state, { lookup, tries });
+      const failed = answer?.swap().toMaybe().extract();
+      if (answer && !(failed && mayHandOn(failed, lookup))) return answer;
+      if (!answer) break;
+    }
+  }
+  const waited = await queue.wait(need, {
+    deadlineAt,
+    ...(lookup.signal ? { signal: lookup.signal } : {}),
+  });
+  return waited.caseOf<Outcome<LookupAnswer>>({
+    Left: (failed) => Promise.resolve(Left(failed)),
+    Right: (granted) => runHere(state, { lookup, tries, place: granted }),
+  });
+}
+
+/** Runs a lookup to its answer, with at most one retry. */
+export async function runLookup(state: LookupState, lookup: Lookup): Outcome<LookupAnswer> {
+  const { clock, budget, invariants, metrics } = state;
+  const tries: Tries = { sent: 0, workers: [], peers: new Set() };
+  let answer = await attempt(state, { lookup, tries });
+  for (let retries = 0; answer.isLeft() && retries < 1; retries++) {
+    const failed = answer.swap().unsafeCoerce();
+    if (!isNotRun(failed)) Object.assign(tries, { unknown: failed });
+    const inTime = clock.now() < lookup.deadlineAt && !lookup.signal?.aborted;
+    if (isShortage(failed) || !mayResend(failed, lookup) || !inTime || !budget.take()) break;
+    metrics.count('lookup.retry');
+    answer = await attempt(state, { lookup, tries });
+  }
+  return answer.mapLeft((failed) => {
+    if (!isNotRun(failed)) Object.assign(tries, { unknown: tries.unknown ?? failed });
+    const final = forCaller(finalFailure(tries, failed));
+    invariants.check(
+      Invariant.NotRun,
+      !isNotRun(final) || tries.unknown === undefined,
+      () => `lookup ${lookup.id} may have run and is refused with ${final.kind}`,
+    );
+    return final;
+  });
+}
--- /dev/null
+++ b/src/dispatch/lookups.ts
@@ -0,0 +1,190 @@
+/**
+ * Lookups from request to answer. Nothing on this path writes to the table service.
+ */
+import { Left, Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import { Kind, failure, isNotRun } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
+import { Phase } from '../membership/mod.ts';
+import type { RequestClaim } from '../requests/mod.ts';
+import type { HandedLookup, LookupAnswer, LookupRequest } from '../schema/mod.ts';
+import { makeDeadlineQueue } from './_deadline_queue.ts';
+import { checkSize, findQueue, fullSize } from './_feasibility.ts';
+import type { Lookup } from './_lookup_rules.ts';
+import { runLookup } from './_lookup_run.ts';
+import type { LookupParts, LookupState } from './_lookup_run.ts';
+import type { Caller } from './dispatch.ts';
+import { makeRetryBudget } from './retry_budget.ts';
+
+/** Lookups of callers and those that peers hand over. */
+export interface Lookups {
+  lookup(caller: Caller, request: LookupRequest): Outcome<LookupAnswer>;
+  handed(question: HandedLookup, options?: { signal?: AbortSignal }): Outcome<LookupAnswer>;
+  /** Lookups without an answer yet. */
+  open(): number;
+  dump(): unknown;
+}
+
+const defaultEstimateMs = 100;
+const defaultRunTimeoutMs = 60_000;
+// A retry storm at the end of a fault would double the load at the worst time.
+const retryCapacity = 20;
+const retriesPerMinute = 600;
+
+function refusal(state: LookupState): Failure | undefined {
+  if (state.membership.phase() === Phase.Draining) {
+    return failure(Kind.Draining, 'this process is shutting down');
+  }
+  if (!state.membership.isFresh()) {
+    return failure(Kind.NotFresh, 'this process has no fresh read of the settings');
+  }
+  return undefined;
+}
+
+/** Checks the request and makes the lookup. */
+function accept(
+  state: LookupState,
+  { caller, request }: { caller: Caller; request: LookupRequest },
+): Either<Failure, Lookup> {
+  const { clock, random, membership, settings, queue } = state;
+  const fleet = settings.current();
+  const refused = refusal(state);
+  if (refused) return Left(refused);
+  const size = fullSize(request.size);
+  const asked = { team: caller.team, queue: caller.queue, kind: 'lookup' as const };
+  return findQueue(fleet, asked)
+    .chain((found) => checkSize(fleet, { queue: found, size }))
+    .chain((found) => {
+      if (queue.waiting(caller.team, caller.queue) >= found.maxWaiting) {
+        return Left(
+          failure(Kind.QueueFull, `queue ${caller.queue} of team ${caller.team} is full`, {
+            expected: found.maxWaiting,
+          }),
+        );
+      }
+      const { dataCentres } = found;
+      const { estimateMs = defaultEstimateMs, idempotent = false } = request;
+      const now = clock.now();
+      return Right({
+        id: `${Math.floor(random() * 2 ** 52).toString(36)}@${membership.id()}`,
+        need: {
+          ...{ ...asked, size, estimateMs },
+          ...(dataCentres.length > 0 ? { onlyDataCentres: dataCentres } : {}),
+        },
+        size,
+        body: request.body,
+        idempotent,
+        arrivedAt: now,
+        deadlineAt: now + (request.deadlineMs ?? fleet.policy.urgentDeadlineMs),
+        ...(caller.signal ? { signal: caller.signal } : {}),
+        handed: false,
+      });
+    });
+}
+
+/** Claims the request id, if there is one; resolves with an answer when the lookup must not run. */
+async function claimFirst(
+  { requests }: LookupState,
+  { claim, idempotent }: { claim: RequestClaim; idempotent: boolean },
+): Promise<Either<Failure, LookupAnswer> | undefined> {
+  const claimed = await requests.claim(claim);
+  return claimed.caseOf<Either<Failure, LookupAnswer> | undefined>({
+    Left: (failed) => (idempotent ? undefined : Left(failed)),
+    Right(result) {
+      if (result.verdict === 'first') return undefined;
+      if (result.answer) return Right(result.answer);
+      return Left(failure(Kind.RequestRepeated, `request id ${claim.request} was used before`));
+    },
+  });
+}
+
+async function lookupOf(
+  state: LookupState,
+  { caller, request }: { caller: Caller; request: LookupRequest },
+): Outcome<LookupAnswer> {
+  const accepted = accept(state, { caller, request });
+  const lookup = accepted.toMaybe().extract();
+  if (!lookup) return accepted.map((): never => undefined as never);
+  if (caller.request === undefined) return runLookup(state, lookup);
+  const claim = { team: caller.team, request: caller.request, claimant: lookup.id };
+  const known = await claimFirst(state, { claim, idempotent: lookup.idempotent });
+  if (known) return known;
+  const answer = await runLookup(state, lookup);
+  answer.caseOf({
+    Left(failed) {
+      if (isNotRun(failed)) state.requests.withdraw(claim);
+    },
+    Right: (value) => state.requests.finished(claim, value),
+  });
+  return answer;
+}
+
+async function runHanded(
+  state: LookupState,
+  { question, signal }: { question: HandedLookup; signal?: AbortSignal },
+): Outcome<LookupAnswer> {
+  const refused = refusal(state);
+  if (refused) return Left(refused);
+  const { clock, settings } = state;
+  const fleet = settings.current();
+  if (question.settings > fleet.version) {
+    return Left(failure(Kind.NotFresh, 'this process has older settings', { got: fleet.version }));
+  }
+  const { id, team, queue, size, estimateMs, idempotent, body, remainingMs } = question;
+  const now = clock.now();
+  return findQueue(fleet, { team, queue, kind: 'lookup' }).caseOf<Outcome<LookupAnswer>>({
+    Left: (failed) => Promise.resolve(Left(failed)),
+    Right: ({ dataCentres }) =>
+      runLookup(state, {
+        ...{ id, size, body, idempotent, handed: true },
+        need: {
+          ...{ team, queue, kind: 'lookup', size, estimateMs },
+          ...(dataCentres.length > 0 ? { onlyDataCentres: dataCentres } : {}),
+        },
+        arrivedAt: now,
+        deadlineAt: now + remainingMs,
+        ...(signal ? { signal } : {}),
+      }),
+  });
+}
+
+/**
+ * Makes the lookups of a process.
+ *
+ * @example
+ * const lookups = makeLookups({ clock, random, pool, peers, peerChoice, requests, membership,
+ *   settings, limits, invariants, log, metrics });
+ * await lookups.lookup({ team: 'millers', queue: 'main' }, { body: { account: 7 } });
+ */
+export function makeLookups(parts: LookupParts): Lookups {
+  const { clock, pool, limits, runTimeoutMs = defaultRunTimeoutMs } = parts;
+  const queue = makeDeadlineQueue({
+    clock,
+    pool,
+    onTeamLimit: (team) => limits.want(team, 1).catch(() => undefined),
+  });
+  const budget = makeRetryBudget({
+    clock,
+    capacity: retryCapacity,
+    perMinute: retriesPerMinute,
+  });
+  const state: LookupState = { ...parts, runTimeoutMs, queue, budget };
+  let open = 0;
+  const counted = async <T>(outcome: Promise<T>): Promise<T> => {
+    open += 1;
+    try {
+      return await outcome;
+    } finally {
+      open -= 1;
+    }
+  };
+  pool.onRoom(queue.pump);
+  return {
+    lookup: (caller, request) => counted(lookupOf(state, { caller, request })),
+    handed: (question, { signal } = {}) =>
+      counted(runHanded(state, { question, ...(signal ? { signal } : {}) })),
+    open: () => open,
+    dump: () => ({ open, waiting: queue.size(), retryTokens: budget.tokens() }),
+  };
+}
--- /dev/null
+++ b/src/dispatch/lookups_test.ts
@@ -0,0 +1,154 @@
+import * as fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { makeRandom, makeVirtualClock, pickIndex } from '../clock/mod.ts';
+import { Kind, isNotRun } from '../errors/mod.ts';
+import { fakeTeam, fakeUpstream, makeFakeSettings } from '../testing/fake_fleet.ts';
+import { fakeMember, makeFakeProcess } from '../testing/fake_process.ts';
+import type { FakeProcess } from '../testing/fake_process.ts';
+import { makeFakeWorkers } from '../testing/fake_workers.ts';
+
+const caller = { team: 'a', queue: 'main' };
+
+async function setUp({ units = [8, 8], lookupMs = 100, seed = 3 } = {}) {
+  const clock = makeVirtualClock();
+  const workers = makeFakeWorkers({ clock, lookupMs });
+  const upstreams = units.flatMap((_, i) => [fakeUpstream(`w${i}a`), fakeUpstream(`w${i}b`)]);
+  const settings = makeFakeSettings({ upstreams, teams: [fakeTeam('a', 100)] });
+  const members = units.map((_, i) => fakeMember(`m${i}`));
+  const shared = {
+    clock,
+    workers,
+    settings,
+    members,
+    handlers: new Map(),
+    random: makeRandom(seed),
+  };
+  const processes: FakeProcess[] = [];
+  for (let i = 0; i < units.length; i++) {
+    const own = upstreams.slice(2 * i, 2 * i + 2);
+    processes.push(
+      await makeFakeProcess(shared, { id: `m${i}`, upstreams: own, units: { a: units[i] ?? 0 } }),
+    );
+  }
+  const [first] = processes;
+  if (!first) throw new Error('no process');
+  const close = () => processes.forEach(({ pool }) => pool.close());
+  const kinds = () => processes.map(({ limits }) => limits.used('a'));
+  return { clock, workers, settings, processes, first, close, kinds, shared };
+}
+
+test('a lookup that finds its own process full must use the room and units of a peer', async () => {
+  const { first, clock, workers, close, kinds } = await setUp({ units: [1, 8] });
+  const all = Array.from({ length: 6 }, (_, i) => first.lookups.lookup(caller, { body: i }));
+  await clock.advance(150);
+  const answers = await Promise.all(all);
+  answers.forEach((answer, i) => assert.is(answer.unsafeCoerce().body, i));
+  assert.ok(workers.starts.some(({ worker }) => worker.startsWith('w1')));
+  assert.equal(kinds(), [0, 0]);
+  close();
+});
+
+test('a non-idempotent lookup that is resent after a lost answer would run twice', async () => {
+  const { first, clock, workers, close } = await setUp();
+  workers.faults.w0a = { loseStart: 'answer' };
+  const answer = first.lookups.lookup(caller, { body: 1 });
+  await clock.advance(10);
+  assert.is((await answer).swap().unsafeCoerce().kind, Kind.OutcomeUnknown);
+  assert.is(workers.starts.length, 1);
+  const again = first.lookups.lookup(caller, { body: 2, idempotent: true });
+  await clock.advance(200);
+  assert.is((await again).unsafeCoerce().worker, 'w0b');
+  close();
+});
+
+test('a lookup that waits past its deadline must be refused as not run, and truthfully', async () => {
+  const { first, clock, workers, close } = await setUp({ units: [1], lookupMs: 900 });
+  const running = first.lookups.lookup(caller, { body: 1 });
+  const late = first.lookups.lookup(caller, { body: 'late', deadlineMs: 500 });
+  const patient = first.lookups.lookup(caller, { body: 'patient' });
+  await clock.advance(600);
+  assert.is((await late).swap().unsafeCoerce().kind, Kind.DeadlineUnreachable);
+  await clock.advance(1_400);
+  assert.ok((await running).isRight());
+  assert.is((await patient).unsafeCoerce().body, 'patient');
+  assert.equal(
+    workers.starts.map(({ request }) => request.body),
+    [1, 'patient'],
+  );
+  close();
+});
+
+test('the earliest deadline must go first, and an aborted wait must leave no lookup behind', async () => {
+  const { first, clock, workers, close } = await setUp({ units: [1], lookupMs: 300 });
+  const stop = new AbortController();
+  const all = [
+    first.lookups.lookup(caller, { body: 'runs' }),
+    first.lookups.lookup(caller, { body: 'second', deadlineMs: 1_500 }),
+    first.lookups.lookup(caller, { body: 'first', deadlineMs: 1_000 }),
+    first.lookups.lookup({ ...caller, signal: stop.signal }, { body: 'gone', deadlineMs: 900 }),
+  ];
+  await clock.advance(50);
+  stop.abort();
+  await clock.advance(2_000);
+  const kinds = (await Promise.all(all)).map((answer) => answer.isRight());
+  assert.equal(kinds, [true, true, true, false]);
+  assert.equal(
+    workers.starts.map(({ request }) => request.body),
+    ['runs', 'first', 'second'],
+  );
+  assert.is(first.lookups.open(), 0);
+  close();
+});
+
+test('unknown teams, queues and infeasible sizes must be refused before anything is sent', async () => {
+  const { first, workers, close } = await setUp();
+  const kind = async (team: string, queue: string, processors = 1) =>
+    (await first.lookups.lookup({ team, queue }, { size: { processors } })).swap().unsafeCoerce()
+      .kind;
+  assert.is(await kind('b', 'main'), Kind.TeamUnknown);
+  assert.is(await kind('a', 'none'), Kind.QueueUnknown);
+  assert.is(await kind('a', 'main', 99), Kind.SizeInfeasible);
+  assert.is(workers.starts.length, 0);
+  close();
+});
+
+test('under random faults no lookup may run twice, and "not run" must be true', async () => {
+  await fc.assert(
+    fc.asyncProperty(fc.integer(), async (seed) => {
+      const { processes, clock, workers, close, kinds } = await setUp({ units: [4, 4, 4], seed });
+      const random = makeRandom(seed);
+      const all: Promise<void>[] = [];
+      for (let i = 0; i < 80; i++) {
+        const worker = `w${pickIndex(random, 3)}${random() < 0.5 ? 'a' : 'b'}`;
+        const faults = [{ unreachable: true }, { loseStart: 'answer' }, { loseStart: 'request' }];
+        const fault = [...faults, { refuseStarts: true }, {}, {}][pickIndex(random, 6)];
+        if (random() < 0.3) Object.assign(workers.faults, { [worker]: fault });
+        const body = `b${i}`;
+        const idempotent = random() < 0.5;
+        const from = processes[pickIndex(random, 3)];
+        if (!from) continue;
+        all.push(
+          from.lookups.lookup(caller, { body, idempotent }).then((answer) => {
+            if (!idempotent) assert.ok((workers.ran.get(body) ?? 0) <= 1, `${body} ran twice`);
+            answer.caseOf({
+              Left: (failed) => isNotRun(failed) && assert.ok(!workers.ran.has(body), failed.kind),
+              Right: (value) => assert.is(value.body, body),
+            });
+          }),
+        );
+        await clock.advance(random() * 60);
+      }
+      await clock.advance(5_000);
+      await Promise.all(all);
+      Object.keys(workers.faults).forEach((id) => Object.assign(workers.faults, { [id]: {} }));
+      await clock.advance(60_000);
+      assert.equal(kinds(), [0, 0, 0]);
+      close();
+    }),
+    { numRuns: 15, includeErrorInReport: true },
+  );
+});
+
+test.run();
--- a/src/pool/_renewals.ts
+++ b/src/pool/_renewals.ts
@@ -128,7 +128,8 @@
     const waitMs = Math.max(...times) - clock.now() + 1;
     if (waitMs > 0) await clock.sleep(waitMs, entry.closed.signal);
     if (entry.closed.signal.aborted) break;
-    if (!entry.reachable || !(await listTasks(state, entry))) {
+    if (entry.reachable) await listTasks(state, entry);
+    if ([...entry.tasks.values()].some((held) => held.uncertainUntil !== undefined)) {
       await clock.sleep(probeEveryMs, entry.closed.signal);
     }
   }
--- a/src/pool/_state.ts
+++ b/src/pool/_state.ts
@@ -101,10 +101,11 @@
 
 /** Notes that the worker runs the task. */
 export function confirm(held: HeldTask, now: number): void {
-  const { confirmedAt = now, state } = held;
+  const { confirmedAt = now, state, kind, uncertainUntil } = held;
   Object.assign(held, {
     confirmedAt,
-    uncertainUntil: undefined,
+    // A lookup whose answer was lost is listed until it has ended, for nobody reports its end.
+    uncertainUntil: kind === 'lookup' ? uncertainUntil : undefined,
     state: state === 'starting' ? 'running' : state,
   });
 }
--- /dev/null
+++ b/src/requests/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Detection of repeated caller request ids by a quorum of witnesses.
+ */
+export * from './requests.ts';
--- a/src/schema/_generated/types.ts
+++ b/src/schema/_generated/types.ts
@@ -230,6 +230,10 @@
    * Asks the claimant's own process for the answer that it still keeps; claims nothing.
    */
   recall?: boolean;
+  /**
+   * Withdraws the claimant's claim, because its lookup certainly did not run.
+   */
+  withdraw?: boolean;
   membership: number;
 }
 export interface WitnessAnswer {
--- /dev/null
+++ b/src/testing/fake_process.ts
@@ -0,0 +1,124 @@
+/**
+ * Several processes of the scheduler in one test: real pools and lookups over fake workers, with
+ * peers that are called directly.
+ */
+import { Right } from 'purify-ts';
+
+import { makeRandom } from '../clock/mod.ts';
+import type { Random, VirtualClock } from '../clock/mod.ts';
+import { makeLookups, makePeerChoice } from '../dispatch/mod.ts';
+import { Kind, refuse } from '../errors/mod.ts';
+import { makeInvariants, throwOnViolation } from '../invariants/mod.ts';
+import { silentLog } from '../logs/mod.ts';
+import { Phase } from '../membership/mod.ts';
+import { silentMetrics } from '../metrics/mod.ts';
+import type { Peer, Peers } from '../peers/mod.ts';
+import { makePool } from '../pool/mod.ts';
+import type { Requests } from '../requests/mod.ts';
+import type { Member, Upstream } from '../schema/mod.ts';
+import { makeFakeLimits, makeFakeOwnership } from './fake_fleet.ts';
+import type { FakeSettings } from './fake_fleet.ts';
+import type { FakeWorkers } from './fake_workers.ts';
+import { makeFirstFit } from './first_fit.ts';
+
+/**
+ * A member row.
+ *
+ * @example
+ * fakeMember('m1');
+ */
+export function fakeMember(id: string): Member {
+  return {
+    ...{ id, address: '127.0.0.1', port: 1, dataCentre: 'dc1', region: 'north' },
+    ...{ joined: 1, seen: 1, sequence: 1, operation: 'o', draining: false },
+  };
+}
+
+/** Request claims that are always first. */
+export const firstRequests: Requests = {
+  claim: async () => Right({ verdict: 'first' }),
+  withdraw: () => undefined,
+  finished: () => undefined,
+  witness: () => Right({ verdict: 'first' }),
+  dump: () => ({}),
+};
+
+/** The state that the processes of a test share. */
+export interface SharedFakes {
+  clock: VirtualClock;
+  workers: FakeWorkers;
+  settings: FakeSettings;
+  members: Member[];
+  /** Handlers by member id; a missing one can't be reached. */
+  handlers: Map<string, Partial<Peer>>;
+  random?: Random;
+}
+
+/** Peers that call the handlers of the other processes. */
+function connectPeers({ handlers, clock }: SharedFakes): Peers {
+  return ({ id }) =>
+    new Proxy({} as Peer, {
+      get: (_target, method: keyof Peer) => async (question: never, options: never) => {
+        await clock.sleep(1);
+        const handle = handlers.get(id)?.[method] as
+          ((question: never, options: never) => Promise<unknown>) | undefined;
+        if (!handle) return refuse(Kind.PeerUnavailable, `peer ${id} is away`);
+        return handle(question, options);
+      },
+    });
+}
+
+/**
+ * Makes one process that owns the upstreams.
+ *
+ * @example
+ * const process = await makeFakeProcess(shared, { id: 'm1', upstreams, units: { a: 8 } });
+ */
+export async function makeFakeProcess(
+  shared: SharedFakes,
+  options: {
+    id: string;
+    upstreams: Upstream[];
+    units: Record<string, number>;
+    requests?: Requests;
+  },
+) {
+  const { clock, workers, settings, members, handlers, random = makeRandom(3) } = shared;
+  const { id, upstreams, units, requests = firstRequests } = options;
+  const limits = makeFakeLimits(units);
+  const ownership = makeFakeOwnership();
+  const invariants = makeInvariants({ onViolation: throwOnViolation });
+  const membership = {
+    id: () => id,
+    phase: () => Phase.Full,
+    isFresh: () => true,
+    freshUntil: () => clock.now() + 2_500,
+    view: () => ({ version: 1, members }),
+    recentViews: () => [{ view: { version: 1, members }, replacedAgoMs: 0 }],
+  };
+  const common = {
+    clock,
+    random,
+    limits,
+    invariants,
+    membership,
+    settings,
+    metrics: silentMetrics,
+  };
+  const log = silentLog;
+  const pool = makePool({ ...common, log, workers, placement: makeFirstFit(), ownership });
+  const peers = connectPeers(shared);
+  const peerChoice = makePeerChoice({ clock, random, membership });
+  const lookups = makeLookups({ ...common, log, pool, peers, peerChoice, requests });
+  handlers.set(id, { lookup: lookups.handed });
+  for (const upstream of upstreams) {
+    const state = await workers.fence(upstream, { owner: id, epoch: 1 });
+    state.ifRight((fenced) =>
+      ownership.observers.forEach((observer) => observer.acquired({ upstream, epoch: 1 }, fenced)),
+    );
+  }
+  return { ...common, id, pool, lookups, ownership, peers, peerChoice, log };
+}
+
+/** One process of a test. */
+export type FakeProcess = Awaited<ReturnType<typeof makeFakeProcess>>;
--- a/src/testing/fake_workers.ts
+++ b/src/testing/fake_workers.ts
@@ -29,6 +29,8 @@
 export interface FakeWorkers extends Workers {
   faults: Record<string, Faults>;
   starts: { worker: string; request: StartRequest; at: number }[];
+  /** Bodies of the tasks that ran, with how often. */
+  ran: Map<unknown, number>;
   running(worker: string): RunningTask[];
   /** Ends a task; lookups end by themselves after `lookupMs`. */
   end(worker: string, task: string, state?: 'finished' | 'failed'): void;
@@ -49,6 +51,7 @@
   const programs = new Map<string, Program>();
   const faults: Record<string, Faults> = {};
   const starts: FakeWorkers['starts'] = [];
+  const ran: FakeWorkers['ran'] = new Map();
 
   const open = ({ id, capacity }: Upstream): Program => {
     const program = programs.get(id) ?? {
@@ -95,6 +98,7 @@
     if ((program.seen.get(request.task) ?? 0) >= request.attempt) return refused;
     const { task, attempt, team, job, kind, size } = request;
     program.seen.set(task, attempt);
+    ran.set(request.body, (ran.get(request.body) ?? 0) + 1);
     program.tasks.set(task, {
       ...{ task, attempt, team, job, kind, size, state: 'running' as const, startedAgoMs: 0 },
       startedAt: clock.now(),
@@ -106,6 +110,7 @@
   return {
     faults,
     starts,
+    ran,
     running: (worker) => {
       const program = programs.get(worker);
       return program ? view(program).filter((task) => task.state === 'running') : [];
@@ -135,7 +140,14 @@
       const program = open(upstream);
       const refusal = admit(program, request);
       if (refusal) return refusal;
-      if (fault.loseStart === 'answer') return unknown;
+      if (fault.loseStart === 'answer') {
+        const lost = async () => {
+          await clock.sleep(lookupMs);
+          program.tasks.delete(request.task);
+        };
+        if (request.kind === 'lookup') lost().catch(() => undefined);
+        return unknown;
+      }
       const { task, attempt, body } = request;
       if (request.kind !== 'lookup') return Right({ task, attempt, status: 'running' as const });
       await clock.sleep(lookupMs);
