Add table service client and writer lane

Every write of a process must be fenced by its member row, and a lost answer must be resolved before anything else is written.

--- /dev/null
+++ b/src/table/_http.ts
@@ -0,0 +1,104 @@
+/**
+ * The dialect `http-json`: `POST /read`, `/scan` and `/transact` with JSON bodies.
+ *
+ * A conflict is answered with 409 and the keys that differ. A transaction that the service calls
+ * malformed or too large (400, 413) certainly did not take effect. Every other failure after the
+ * first byte was sent leaves the outcome of a transaction unknown.
+ */
+import { Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import type { Clock } from '../clock/mod.ts';
+import { Kind, failure, refuse } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
+import { makeConnections } from '../exchange/mod.ts';
+import type { ExchangeAnswer, Traffic } from '../exchange/mod.ts';
+import { decode, validators } from '../schema/mod.ts';
+import type { Commit, Row } from '../schema/mod.ts';
+import type { Table } from './table.ts';
+
+/** Where the table service is, and the limits on each exchange. */
+export interface TableOptions {
+  address: string;
+  port: number;
+  clock: Clock;
+  timeoutMs?: number;
+  connections?: number;
+}
+
+/** A table client that owns connections. */
+export interface TableClient extends Table {
+  traffic(): Traffic;
+  close(): Promise<void>;
+}
+
+// The heartbeat of a member has to fail within this time, see section 4.3 of the design.
+const defaultTimeoutMs = 600;
+
+function parse(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function decodeRows(answer: ExchangeAnswer): Either<Failure, Row[]> {
+  const value = parse(answer.body) as { rows?: unknown } | undefined;
+  const rows = answer.status === 200 && Array.isArray(value?.rows) ? value.rows : undefined;
+  if (!rows?.every((row) => (validators.validateRow as (row: unknown) => boolean)(row))) {
+    const got = { status: answer.status, bytes: answer.body.length };
+    return refuse(Kind.TableUnavailable, 'the table service gave no rows', { got });
+  }
+  return Right(rows as Row[]);
+}
+
+function decodeCommit(answer: ExchangeAnswer): Either<Failure, Commit> {
+  const value = parse(answer.body);
+  if (answer.status === 200) {
+    return decode<Commit>(validators.validateCommit, value).mapLeft(({ message }) =>
+      failure(Kind.TableUnknown, `the answer to the transaction is not valid: ${message}`),
+    );
+  }
+  const { keys, message } = (value ?? {}) as { keys?: unknown; message?: unknown };
+  if (answer.status === 409 && Array.isArray(keys)) {
+    return refuse(Kind.TableConflict, 'rows have other versions', { got: keys });
+  }
+  if (answer.status === 400 || answer.status === 413) {
+    return refuse(Kind.MalformedRequest, `the table service rejected it: ${String(message)}`);
+  }
+  return refuse(Kind.TableUnknown, 'the table service failed', { got: answer.status });
+}
+
+/**
+ * Makes a client of the dialect `http-json`.
+ *
+ * `read` and `scan` change nothing, so they fail with `table-unavailable` in every case.
+ *
+ * @example
+ * const table = makeHttpTable({ address: '127.0.0.1', port: 7000, clock: systemClock });
+ */
+export function makeHttpTable(options: TableOptions): TableClient {
+  const { address, port, clock, timeoutMs = defaultTimeoutMs, connections = 8 } = options;
+  const link = makeConnections({ address, port, clock, connections, connectTimeoutMs: timeoutMs });
+  const post = (path: string, body: unknown) =>
+    link.exchange({ method: 'POST', path, body: JSON.stringify(body), timeoutMs });
+  const fetchRows = async (path: string, body: unknown) =>
+    (await post(path, body))
+      .mapLeft(({ message }) => failure(Kind.TableUnavailable, `${path} failed: ${message}`))
+      .chain(decodeRows);
+  return {
+    read: (keys) => fetchRows('/read', { keys }),
+    scan: (prefix, { after, limit } = {}) => fetchRows('/scan', { prefix, after, limit }),
+    async transact(transaction) {
+      const answer = await post('/transact', transaction);
+      return answer
+        .mapLeft(({ sent, message }) =>
+          failure(sent ? Kind.TableUnknown : Kind.TableUnavailable, message),
+        )
+        .chain(decodeCommit);
+    },
+    traffic: link.traffic,
+    close: link.close,
+  };
+}
--- /dev/null
+++ b/src/table/writer.ts
@@ -0,0 +1,88 @@
+/**
+ * The lane through which a process writes to the table service, see section 4.2 of the design.
+ */
+import type { Clock, Random } from '../clock/mod.ts';
+import type { Outcome } from '../errors/mod.ts';
+import { silentLog } from '../logs/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import type { Commit, Row } from '../schema/mod.ts';
+import { Lane } from './_lane.ts';
+import { makeRetryBudget } from './retry_budget.ts';
+import type { RetryBudget } from './retry_budget.ts';
+import type { Mutation, Table, Writer } from './table.ts';
+
+/** What the lane works with. */
+export interface WriterOptions {
+  table: Table;
+  clock: Clock;
+  random: Random;
+  /** Key of the member row, `members/{id}`; `join` can change it. */
+  memberKey: string;
+  budget?: RetryBudget;
+  log?: Log;
+  /** Rows that one transaction may touch; a larger mutation is sent alone. */
+  maxRows?: number;
+  /** Attempts of one mutation while the service is unavailable. */
+  maxAttempts?: number;
+  /** Called once when the member row turns out to be gone. */
+  onExpelled?: () => void;
+}
+
+/**
+ * The writer lane, with the functions that only membership code calls.
+ *
+ * Membership calls `join` once with the whole member row and a mutation that increments
+ * `head.membership`, then `commit` for its heartbeats, and `leave` at the end. A write to the member
+ * row in a `commit` replaces the given fields (`seen`, `draining`); the lane itself sets `sequence`
+ * and `operation`. After `expelled`, or a `join` that failed with `table-unknown`, membership calls
+ * `join` again with a new member id.
+ */
+export interface WriterLane extends Writer {
+  /**
+   * Creates the member row. Fails with `table-conflict` when the row exists or a check fails, and
+   * with `table-unknown` when the row may still be created later.
+   */
+  join(
+    value: Record<string, unknown>,
+    options?: { memberKey?: string; mutation?: Mutation; timeoutMs?: number },
+  ): Outcome<Commit>;
+  /**
+   * Deletes the member row after the mutations that wait. Fails with `table-unknown` when the row is
+   * gone without an answer: by this call or by an expulsion, which is the same for the caller.
+   */
+  leave(options?: { mutation?: Mutation; timeoutMs?: number }): Outcome<Commit>;
+  /** The member row as last written; undefined outside of a membership. */
+  memberRow(): Row | undefined;
+}
+
+const defaultTimeoutMs = 5_000;
+const defaultMaxRows = 64;
+const defaultMaxAttempts = 6;
+
+/**
+ * Makes the writer lane of a process.
+ *
+ * @example
+ * const writer = makeWriter({ table, clock, random, memberKey: 'members/entry-1' });
+ * await writer.join(member, { mutation: incrementMembership });
+ * await writer.commit({ writes: [{ key: 'results/j1', value: 7 }] });
+ */
+export function makeWriter(options: WriterOptions): WriterLane {
+  const lane = new Lane({
+    budget: makeRetryBudget({ clock: options.clock }),
+    log: silentLog,
+    maxRows: defaultMaxRows,
+    maxAttempts: defaultMaxAttempts,
+    onExpelled: () => undefined,
+    ...options,
+  });
+  return {
+    commit: (mutation, { timeoutMs = defaultTimeoutMs } = {}) => lane.commit(mutation, timeoutMs),
+    isBusy: () => lane.isBusy(),
+    join: (value, { memberKey, mutation = {}, timeoutMs = defaultTimeoutMs } = {}) =>
+      lane.join(value, { memberKey, mutation, timeoutMs }),
+    leave: ({ mutation = {}, timeoutMs = defaultTimeoutMs } = {}) =>
+      lane.leave(mutation, timeoutMs),
+    memberRow: () => lane.memberRow(),
+  };
+}
--- /dev/null
+++ b/src/table/writer_test.ts
@@ -0,0 +1,175 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { makeRandom, makeVirtualClock } from '../clock/mod.ts';
+import { Kind } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
+import { makeMemoryTable } from '../standins/mod.ts';
+import { makeWriter } from './mod.ts';
+
+const memberKey = 'members/m1';
+
+async function setUp() {
+  const clock = makeVirtualClock();
+  const table = makeMemoryTable({ clock });
+  const transactions: number[] = [];
+  const counted = {
+    ...table,
+    transact(transaction: Parameters<typeof table.transact>[0]) {
+      transactions.push(transaction.writes.length);
+      return table.transact(transaction);
+    },
+  };
+  let expelled = 0;
+  const onExpelled = () => {
+    expelled += 1;
+  };
+  const random = makeRandom(5);
+  const writer = makeWriter({ table: counted, clock, random, memberKey, onExpelled });
+  const joined = writer.join({ id: 'm1' });
+  await clock.advance(10);
+  assert.ok((await joined).isRight());
+  const value = (key: string) => table.state.read([key])[0]?.value;
+  return { clock, table, writer, transactions, value, expelled: () => expelled };
+}
+
+function kindOf(outcome: { extract(): unknown }): string {
+  return (outcome.extract() as Failure).kind;
+}
+
+test('one transaction for each write would exceed the write rate of the service', async () => {
+  const { clock, writer, transactions, value } = await setUp();
+  const all = Array.from({ length: 100 }, (_, i) =>
+    writer.commit({ writes: [{ key: `k${i}`, value: i }] }),
+  );
+  await clock.advance(10);
+  assert.ok((await Promise.all(all)).every((outcome) => outcome.isRight()));
+  assert.equal(transactions.slice(1), [64, 38]);
+  assert.is(value('k99'), 99);
+});
+
+test('a conflicting mutation that fails the whole batch would lose the writes of others', async () => {
+  const { clock, writer, value } = await setUp();
+  const good = writer.commit({ writes: [{ key: 'a', value: 1 }] });
+  const bad = writer.commit({
+    checks: [{ key: 'b', version: 9 }],
+    writes: [{ key: 'b', value: 2 }],
+  });
+  await clock.advance(10);
+  assert.ok((await good).isRight());
+  assert.is(kindOf(await bad), Kind.TableConflict);
+  assert.equal(((await bad).extract() as Failure).got, ['b']);
+  assert.is(value('b'), undefined);
+});
+
+test('mutations that rely on rows of one another would both pass in one transaction', async () => {
+  const { clock, writer } = await setUp();
+  const one = writer.commit({
+    checks: [{ key: 'x', version: 0 }],
+    writes: [{ key: 'y', value: 1 }],
+  });
+  const two = writer.commit({
+    checks: [{ key: 'y', version: 0 }],
+    writes: [{ key: 'x', value: 1 }],
+  });
+  await clock.advance(10);
+  assert.ok((await one).isRight());
+  assert.is(kindOf(await two), Kind.TableConflict);
+});
+
+test('a write whose answer was lost would be made twice or reported as failed', async () => {
+  const { clock, table, writer, value } = await setUp();
+  table.faults.lose = 1;
+  const outcome = writer.commit({ writes: [{ key: 'a', value: { n: 1 } }], reads: ['a'] });
+  await clock.advance(50);
+  const commit = (await outcome).unsafeCoerce();
+  assert.is(commit.versions.a, table.state.read(['a'])[0]?.version);
+  assert.is((value(memberKey) as { sequence: number }).sequence, 2);
+});
+
+test('a late write that lands after its retry would bring back an old value', async () => {
+  const { clock, table, writer, value } = await setUp();
+  table.faults.slowMs = 3_000;
+  const first = writer.commit({ writes: [{ key: 'a', value: 'old' }] }, { timeoutMs: 2_000 });
+  await clock.advance(1);
+  table.faults.slowMs = 0;
+  await clock.advance(1_000);
+  assert.ok((await first).isRight(), 'the retry after the advanced version succeeds');
+  const second = writer.commit({ writes: [{ key: 'a', value: 'new' }] });
+  await clock.advance(10);
+  assert.ok((await second).isRight());
+  await clock.advance(5_000);
+  assert.is(value('a'), 'new');
+});
+
+test('a caller of an unresolved write that hears "not run" could run its work twice', async () => {
+  const { clock, table, writer, value } = await setUp();
+  Object.assign(table.faults, { lose: 1, slowMs: 100 });
+  const outcome = writer.commit({ writes: [{ key: 'a', value: 1 }] }, { timeoutMs: 500 });
+  await clock.advance(50);
+  table.faults.refuse = true;
+  assert.ok(writer.isBusy());
+  const queued = writer.commit({ writes: [{ key: 'b', value: 1 }] }, { timeoutMs: 500 });
+  await clock.advance(600);
+  assert.is(kindOf(await outcome), Kind.TableUnknown);
+  assert.is(kindOf(await queued), Kind.TableUnavailable);
+  table.faults.refuse = false;
+  await clock.advance(5_000);
+  assert.not(writer.isBusy());
+  assert.is(value('a'), 1);
+  assert.is(value('b'), undefined);
+});
+
+test('an expelled process that goes on writing would undo the work of its successor', async () => {
+  const { clock, table, writer, value, expelled } = await setUp();
+  table.state.transact({ operation: 'x', checks: [], writes: [{ key: memberKey }], reads: [] });
+  const outcomes = [1, 2].map((n) => writer.commit({ writes: [{ key: 'a', value: n }] }));
+  await clock.advance(10);
+  assert.equal((await Promise.all(outcomes)).map(kindOf), [Kind.Expelled, Kind.Expelled]);
+  assert.is(value('a'), undefined);
+  assert.is(expelled(), 1);
+  assert.is(kindOf(await writer.commit({})), Kind.Expelled);
+  const again = writer.join({ id: 'm2' }, { memberKey: 'members/m2' });
+  await clock.advance(10);
+  assert.ok((await again).isRight());
+});
+
+test('a write that took effect before an expulsion would be reported as not run', async () => {
+  const { clock, table, writer } = await setUp();
+  table.faults.lose = 1;
+  const outcome = writer.commit({ writes: [{ key: 'a', value: 1 }] });
+  table.faults.slowMs = 100;
+  await clock.advance(150);
+  table.state.transact({ operation: 'x', checks: [], writes: [{ key: memberKey }], reads: [] });
+  await clock.advance(500);
+  assert.is(kindOf(await outcome), Kind.TableUnknown);
+});
+
+test('a join whose answer was lost would leave the process outside or joined twice', async () => {
+  const clock = makeVirtualClock();
+  const table = makeMemoryTable({ clock });
+  const writer = makeWriter({ table, clock, random: makeRandom(1), memberKey });
+  table.faults.lose = 1;
+  const joined = writer.join({ id: 'm1' }, { mutation: { writes: [{ key: 'head', value: 1 }] } });
+  await clock.advance(2_000);
+  assert.ok((await joined).isRight());
+  assert.is(writer.memberRow()?.version, table.state.read([memberKey])[0]?.version);
+  const left = writer.leave({ mutation: { writes: [{ key: 'head', value: 2 }] } });
+  await clock.advance(10);
+  assert.ok((await left).isRight());
+  assert.equal(table.state.read([memberKey]), [{ key: memberKey, version: 0 }]);
+});
+
+test('retries without a bound would be a storm at the end of an outage', async () => {
+  const { clock, table, writer, transactions } = await setUp();
+  table.faults.refuse = true;
+  const before = transactions.length;
+  for (let i = 0; i < 60; i++) {
+    writer.commit({ reads: ['head'] }, { timeoutMs: 600 }).catch(() => undefined);
+    await clock.advance(800);
+  }
+  const rate = (transactions.length - before) / 48;
+  assert.ok(rate < 4, `${rate} attempts a second`);
+});
+
+test.run();
