Add settings schema, reader, holder and commits

Cause: the scheduler needs checked settings with one version order.

Change: settings.json describes every settings file; types, validators, the table of files and docs/settings.md are generated from it. The reader finds duplicate and unknown sections, keys and files itself, since the ini library drops them without a word, and reports all faults of all files at once. The holder loads, catches up and applies changes in version order. A commit moves head, settings/{v}, tree/{path} and allotments/{team} in one transaction.

--- a/src/schema/_generate.ts
+++ b/src/schema/_generate.ts
@@ -1,5 +1,6 @@
 /**
- * Generates types and validators from the JSON Schemas of this folder into `_generated/`.
+ * Generates types and validators from the JSON Schemas of this folder into `_generated/`, and the
+ * reference page of the settings.
  */
 import { readFileSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
@@ -9,8 +10,11 @@
 import standalone from 'ajv/dist/standalone/index.js';
 import { compile } from 'json-schema-to-typescript';
 
+import { generateSettingsModule, generateSettingsPage } from './_generate_settings.ts';
+import type { SettingsDefinitions } from './_generate_settings.ts';
+
 const folder = path.dirname(fileURLToPath(import.meta.url));
-const names = ['messages', 'records'] as const;
+const names = ['messages', 'records', 'settings'] as const;
 
 interface Definitions {
   $id: string;
@@ -22,7 +26,7 @@
 }
 
 function inline(text: string): string {
-  return text.replaceAll(/"(?:messages|records)?#\/\$defs\/(\w+)"/g, '"#/$defs/$1"');
+  return text.replaceAll(/"(?:messages|records|settings)?#\/\$defs\/(\w+)"/g, '"#/$defs/$1"');
 }
 
 async function generateTypes(schemas: Definitions[]): Promise<string> {
@@ -62,9 +66,24 @@
     ajv,
     references,
   );
-  return `// @ts-nocheck\n/* Generated from src/schema/*.json by \`npm run generate\`. */\n${code}\n`;
+  const imports: string[] = [];
+  // ajv emits `require` for its helpers even when it generates a module.
+  const module = code.replaceAll(
+    /const (\w+) = require\("([^"]+)"\)\.default;/g,
+    (_, name: string, from: string) => {
+      imports.push(`import ${name}Module from '${from}.js';`);
+      return `const ${name} = ${name}Module.default ?? ${name}Module;`;
+    },
+  );
+  return `// @ts-nocheck\n/* Generated from src/schema/*.json by \`npm run generate\`. */\n${imports.join('\n')}\n${module}\n`;
 }
 
 const schemas = names.map(load);
 writeFileSync(path.join(folder, '_generated/types.ts'), await generateTypes(schemas));
 writeFileSync(path.join(folder, '_generated/validators.ts'), generateValidators(schemas));
+
+const settings = JSON.parse(
+  readFileSync(path.join(folder, 'settings.json'), 'utf8'),
+) as SettingsDefinitions;
+writeFileSync(path.join(folder, '_generated/settings.ts'), generateSettingsModule(settings));
+writeFileSync(path.join(folder, '../../docs/settings.md'), generateSettingsPage(settings));
--- a/src/schema/_generated/types.ts
+++ b/src/schema/_generated/types.ts
@@ -453,3 +453,302 @@
     [k: string]: Allotment;
   };
 }
+/**
+ * An operator, who may read and change all settings. At least one must exist.
+ */
+export interface OperatorSection {
+  /**
+   * Salt of the key's hash.
+   */
+  salt: string;
+  /**
+   * scrypt hash of the key; the key itself is kept nowhere.
+   */
+  hash: string;
+}
+/**
+ * Bounds of the scheduling policy.
+ */
+export interface PolicySection {
+  /**
+   * Deadline of a lookup that states none.
+   */
+  urgent_deadline_ms: number;
+  /**
+   * Work that has waited for this long gets room reserved, so that lighter work cannot hold it up for longer.
+   */
+  starvation_bound_ms: number;
+  /**
+   * A worker stops a task whose lease has not been renewed for this long.
+   */
+  lease_ms: number;
+  /**
+   * Retries that a process makes for one team in a minute.
+   */
+  retry_budget_per_team_per_minute: number;
+  /**
+   * Rate at which tasks are moved off leaving upstreams and data centres out of service.
+   */
+  evacuation_tasks_per_second: number;
+}
+/**
+ * The worker program on the upstreams.
+ */
+export interface WorkerSection {
+  /**
+   * Dialect of the protocol that workers speak.
+   */
+  dialect: string;
+  /**
+   * Whether workers refuse requests with an old epoch. With `no`, a worker is taken over only after its former owner released it, or was dropped from the host list and 30 s have passed.
+   */
+  fencing: boolean;
+}
+/**
+ * A data centre.
+ */
+export interface DataCentreSection {
+  /**
+   * Region that the data centre lies in.
+   */
+  region: string;
+  /**
+   * With `no`, no task starts there (within 4 s of the change), and the work there is moved away.
+   */
+  in_service: boolean;
+}
+/**
+ * The rack that the upstreams of this file stand in.
+ */
+export interface RackSection {
+  /**
+   * Data centre of the rack; it must have a file in `data-centres/`.
+   */
+  data_centre: string;
+}
+/**
+ * One upstream: a worker host. The name is its id, unique over all racks.
+ */
+export interface UpstreamSection {
+  /**
+   * Address of the worker.
+   */
+  address: string;
+  /**
+   * Port of the worker.
+   */
+  port: number;
+  /**
+   * Processors that tasks may use.
+   */
+  processors: number;
+  /**
+   * Memory that tasks may use.
+   */
+  memory_mb: number;
+  /**
+   * Accelerators that tasks may use.
+   */
+  accelerators: number;
+  /**
+   * Tasks that may run at once.
+   */
+  slots: number;
+  /**
+   * Connections that one process keeps to the worker at most.
+   */
+  connections: number;
+  /**
+   * With `yes`, the upstream gets no new work (within 4 s of the change), and its work is moved away.
+   */
+  leaving: boolean;
+}
+/**
+ * A team.
+ */
+export interface TeamSection {
+  /**
+   * Weight of the team where teams compete for room.
+   */
+  share: number;
+  /**
+   * Upper limit of the team's running tasks over the whole fleet.
+   */
+  limit: number;
+}
+/**
+ * A key of the team. The name is the key's id. A key stops working when its section is removed.
+ */
+export interface KeySection {
+  /**
+   * Salt of the key's hash.
+   */
+  salt: string;
+  /**
+   * scrypt hash of the key; the key itself is kept nowhere.
+   */
+  hash: string;
+}
+/**
+ * A queue of the team. Each team has a queue `default`, with these defaults where it has no file.
+ */
+export interface QueueSection {
+  /**
+   * Kinds of work that the queue takes, separated by commas.
+   *
+   * @minItems 1
+   */
+  kinds: [WorkKind, ...WorkKind[]];
+  /**
+   * With `yes`, callers without a key of the team may use the queue.
+   */
+  open: boolean;
+  /**
+   * Requests of the queue that may wait in one process; more are refused.
+   */
+  max_waiting: number;
+  /**
+   * Data centres that the work may run in, separated by commas; empty for any.
+   */
+  data_centres: string[];
+}
+/**
+ * The process itself.
+ */
+export interface ProcessSection {
+  /**
+   * Name of the process in logs and metrics.
+   */
+  name: string;
+  /**
+   * Data centre that the process runs in.
+   */
+  data_centre: string;
+  /**
+   * Region that the process runs in.
+   */
+  region: string;
+  /**
+   * Least severe level that is logged.
+   */
+  log_level: 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'fatal';
+}
+/**
+ * The callers' interface, behind the load balancer.
+ */
+export interface CallersSection {
+  /**
+   * Address to listen on.
+   */
+  address: string;
+  /**
+   * Port to listen on; 0 for any free one.
+   */
+  port: number;
+  /**
+   * Largest body of a request.
+   */
+  max_body_bytes: number;
+  /**
+   * Largest header of a request.
+   */
+  max_header_bytes: number;
+  /**
+   * Open connections at once; more are closed at once.
+   */
+  max_connections: number;
+  /**
+   * Requests in work at once; more are refused with `too-many-connections`.
+   */
+  max_waiting_requests: number;
+}
+/**
+ * The interface for other entry processes.
+ */
+export interface PeersSection {
+  /**
+   * Address to listen on; other processes reach this one by it.
+   */
+  address: string;
+  /**
+   * Port to listen on; 0 for any free one.
+   */
+  port: number;
+}
+/**
+ * The operators' interface, with health and readiness for the load balancer.
+ */
+export interface OperatorsSection {
+  /**
+   * Address to listen on.
+   */
+  address: string;
+  /**
+   * Port to listen on; 0 for any free one.
+   */
+  port: number;
+}
+/**
+ * The platform's table service.
+ */
+export interface TableSection {
+  /**
+   * Dialect of the protocol that the service speaks.
+   */
+  dialect: string;
+  /**
+   * Address of the service.
+   */
+  address: string;
+  /**
+   * Port of the service.
+   */
+  port: number;
+}
+/**
+ * The platform's object store.
+ */
+export interface ObjectsSection {
+  /**
+   * Dialect of the protocol that the service speaks.
+   */
+  dialect: string;
+  /**
+   * Address of the service.
+   */
+  address: string;
+  /**
+   * Port of the service.
+   */
+  port: number;
+}
+/**
+ * The platform's list of live and leaving hosts.
+ */
+export interface HostsSection {
+  /**
+   * Dialect of the protocol that the service speaks.
+   */
+  dialect: string;
+  /**
+   * Address of the service. Empty where the platform has none.
+   */
+  address: string;
+  /**
+   * Port of the service. 0 where the platform has none.
+   */
+  port: number;
+}
+/**
+ * StatsD server that metrics are sent to.
+ */
+export interface MetricsSection {
+  /**
+   * Address of the server; empty sends none.
+   */
+  address: string;
+  /**
+   * Port of the server.
+   */
+  port: number;
+}
--- a/src/schema/mod.ts
+++ b/src/schema/mod.ts
@@ -9,6 +9,7 @@
 import type { Failure } from '../errors/mod.ts';
 
 export type * from './_generated/types.ts';
+export * from './_generated/settings.ts';
 export * as validators from './_generated/validators.ts';
 
 /** A validator that ajv generated. */
--- /dev/null
+++ b/src/settings/commit.ts
@@ -0,0 +1,209 @@
+/**
+ * Commits a change of the settings tree: one transaction that moves `head`, so that of two operators
+ * who change the same version only one succeeds.
+ */
+import { Left, Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import type { Clock } from '../clock/mod.ts';
+import { Kind, failure, refuse } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
+import type { Membership } from '../membership/mod.ts';
+import type { Allotment, Change, Head, Row } from '../schema/mod.ts';
+import type { Table, Writer } from '../table/mod.ts';
+import type { Fleet } from './fleet.ts';
+import { applyFiles } from './make_settings.ts';
+import type { SettingsHolder } from './make_settings.ts';
+import { buildFleet } from './tree.ts';
+
+/** A change as an operator submits it. */
+export interface Proposal {
+  /** Version of the settings that the change was made from. */
+  base: number;
+  by: string;
+  note: string;
+  /** New text of each changed file; null removes it. */
+  files: Change['files'];
+}
+
+/** Gives a team's allotment under a new limit; undefined where it has none yet. */
+export type Reallot = (current: Allotment | undefined, limit: number) => Allotment;
+
+/** The parts that a commit uses. */
+export interface CommitParts {
+  settings: SettingsHolder;
+  membership: Pick<Membership, 'mayCommitSettings' | 'beginSettingsCommit'>;
+  table: Table;
+  writer: Writer;
+  clock: Clock;
+  reallot: Reallot;
+}
+
+// Heartbeats of joining members and the share digest also move `head`, and units of limits move
+// between members; neither is a conflict between operators.
+const maxTries = 8;
+const resolvePollMs = 100;
+
+/** Says who changed which files after the base version. */
+async function tellConflict(parts: CommitParts, base: number): Promise<Failure> {
+  const { settings, table } = parts;
+  const { version } = settings.current();
+  const expected = `base version ${version}`;
+  if (base > version) {
+    return failure(Kind.SettingsConflict, 'the base version does not exist yet', {
+      got: base,
+      expected,
+    });
+  }
+  let changes = settings.after(base);
+  if (changes.length === 0) {
+    const keys = Array.from({ length: version - base }, (_, i) => `settings/${base + 1 + i}`);
+    const rows = await table.read(keys.slice(-50));
+    changes = rows.orDefault([]).flatMap(({ value }) => (value ? [value as Change] : []));
+  }
+  const told = changes.map(
+    (change) =>
+      `version ${change.version} by ${change.by} changed ${Object.keys(change.files).join(', ')}`,
+  );
+  const message = `the settings were changed since version ${base}: ${told.join('; ')}`;
+  return failure(Kind.SettingsConflict, message, { got: base, expected });
+}
+
+function checkProposal(parts: CommitParts, proposal: Proposal): Either<Failure, Fleet> {
+  const { settings } = parts;
+  if (Object.keys(proposal.files).length === 0) {
+    return refuse(Kind.SettingsInvalid, 'the change names no file');
+  }
+  const missing = Object.entries(proposal.files)
+    .filter(([path, text]) => text === null && !Object.hasOwn(settings.tree(), path))
+    .map(([path]) => path);
+  if (missing.length > 0) {
+    return refuse(Kind.SettingsInvalid, `files to remove do not exist: ${missing.join(', ')}`);
+  }
+  const tree = applyFiles(settings.tree(), proposal.files);
+  return buildFleet(tree, settings.current().version + 1).chain((fleet) =>
+    fleet.operators.length > 0
+      ? Right(fleet)
+      : refuse(Kind.SettingsInvalid, 'the change would leave no operator', {
+          expected: 'at least one [operator.NAME] section in fleet.ini',
+        }),
+  );
+}
+
+function teamsWithNewLimit(before: Fleet, after: Fleet): string[] {
+  return [...new Set([...Object.keys(before.teams), ...Object.keys(after.teams)])].filter(
+    (team) => before.teams[team]?.limit !== after.teams[team]?.limit,
+  );
+}
+
+function buildMutation(options: {
+  parts: CommitParts;
+  proposal: Proposal;
+  next: Fleet;
+  rows: Row[];
+}): { change: Change; mutation: Parameters<Writer['commit']>[0] } {
+  const { parts, proposal, next, rows } = options;
+  const [head, ...current] = rows;
+  const allotments = Object.fromEntries(
+    current.map(({ key, value }) => {
+      const team = key.slice('allotments/'.length);
+      const limit = next.teams[team]?.limit ?? 0;
+      return [team, parts.reallot(value as Allotment | undefined, limit)];
+    }),
+  );
+  const change: Change = {
+    version: next.version,
+    by: proposal.by,
+    at: parts.clock.wall(),
+    note: proposal.note,
+    files: proposal.files,
+    allotments,
+  };
+  const headValue: Head = {
+    membership: 0,
+    ...(head?.value as Head | undefined),
+    settings: next.version,
+  };
+  const writes = [
+    { key: 'head', value: headValue },
+    { key: `settings/${next.version}`, value: change },
+    ...Object.entries(proposal.files).map(([path, text]) => ({
+      key: `tree/${path}`,
+      value: text ?? undefined,
+    })),
+    ...Object.entries(allotments).map(([team, value]) => ({ key: `allotments/${team}`, value })),
+  ];
+  const checks = [
+    ...rows.map(({ key, version }) => ({ key, version })),
+    { key: `settings/${next.version}`, version: 0 },
+  ];
+  return { change, mutation: { checks, writes } };
+}
+
+async function tryCommit(parts: CommitParts, proposal: Proposal): Outcome<Change> {
+  const { settings, table, writer } = parts;
+  const checked = checkProposal(parts, proposal);
+  if (checked.isLeft()) return checked;
+  const next = checked.unsafeCoerce();
+  const teams = teamsWithNewLimit(settings.current(), next);
+  const read = await table.read(['head', ...teams.map((team) => `allotments/${team}`)]);
+  if (read.isLeft()) return read;
+  const rows = read.unsafeCoerce();
+  const version = (rows[0]?.value as Head | undefined)?.settings ?? 0;
+  if (version !== proposal.base) {
+    const caught = await settings.catchUp(version);
+    if (caught.isLeft()) return caught;
+    return Left(await tellConflict(parts, proposal.base));
+  }
+  const { change, mutation } = buildMutation({ parts, proposal, next, rows });
+  const committed = await writer.commit(mutation);
+  return committed.map(() => change);
+}
+
+async function commitGuarded(parts: CommitParts, proposal: Proposal): Outcome<Change> {
+  const { settings } = parts;
+  if (proposal.base > settings.current().version) await settings.catchUp(proposal.base);
+  for (let tries = 1; ; tries++) {
+    if (proposal.base !== settings.current().version) {
+      return Left(await tellConflict(parts, proposal.base));
+    }
+    const result = await tryCommit(parts, proposal);
+    const kind = result.isLeft() ? result.extract().kind : undefined;
+    if (kind !== Kind.TableConflict || tries >= maxTries) {
+      return result.chain((change) => settings.apply([change]).map(() => change));
+    }
+  }
+}
+
+/** Lets promises be made again once the writer lane knows what became of its last write. */
+async function endWhenResolved(parts: CommitParts, end: () => void): Promise<void> {
+  const { writer, clock } = parts;
+  while (writer.isBusy()) await clock.sleep(resolvePollMs);
+  end();
+}
+
+/**
+ * Commits a change. Fails with `settings-invalid`, with `settings-conflict` (who changed which files
+ * since), with `settings-blocked` while this process may not commit, or as the table service does.
+ *
+ * @example
+ * const change = await commitChange(parts, { base: 7, by: 'ana', note: '', files });
+ */
+export async function commitChange(parts: CommitParts, proposal: Proposal): Outcome<Change> {
+  const { membership } = parts;
+  if (!membership.mayCommitSettings()) {
+    return refuse(Kind.SettingsBlocked, 'this process may not commit settings now', {
+      expected: 'a full member with no promise outstanding and no unsettled departure',
+    });
+  }
+  const end = membership.beginSettingsCommit();
+  let unknown = true;
+  try {
+    const result = await commitGuarded(parts, proposal);
+    unknown = result.isLeft() && result.extract().kind === Kind.TableUnknown;
+    return result;
+  } finally {
+    if (unknown) endWhenResolved(parts, end).catch(() => undefined);
+    else end();
+  }
+}
--- /dev/null
+++ b/src/settings/diff.ts
@@ -0,0 +1,79 @@
+/**
+ * Differences between two settings trees.
+ */
+import type { Tree } from './tree.ts';
+
+/** How a file differs between two trees. */
+export interface FileDifference {
+  path: string;
+  state: 'added' | 'removed' | 'changed';
+  /** Lines that only the old or only the new text has, marked with - and +. */
+  lines: string[];
+}
+
+/** Lines of both texts in order, without those they have in common (longest common subsequence). */
+function diffLines(before: string[], after: string[]): string[] {
+  const width = after.length + 1;
+  const common = new Uint32Array((before.length + 1) * width);
+  for (let i = before.length - 1; i >= 0; i--) {
+    for (let j = after.length - 1; j >= 0; j--) {
+      const at = i * width + j;
+      common[at] =
+        before[i] === after[j]
+          ? (common[at + width + 1] ?? 0) + 1
+          : Math.max(common[at + width] ?? 0, common[at + 1] ?? 0);
+    }
+  }
+  const lines: string[] = [];
+  let i = 0;
+  let j = 0;
+  while (i < before.length || j < after.length) {
+    const at = i * width + j;
+    if (i < before.length && j < after.length && before[i] === after[j]) {
+      i += 1;
+      j += 1;
+    } else if (
+      j >= after.length ||
+      (i < before.length && (common[at + width] ?? 0) >= (common[at + 1] ?? 0))
+    ) {
+      lines.push(`- ${before[i] ?? ''}`);
+      i += 1;
+    } else {
+      lines.push(`+ ${after[j] ?? ''}`);
+      j += 1;
+    }
+  }
+  return lines;
+}
+
+const splitLines = (text: string | undefined) => (text ? text.trimEnd().split('\n') : []);
+
+/**
+ * Lists the files that differ.
+ *
+ * @example
+ * diffTrees({ 'a.ini': 'x = 1' }, { 'a.ini': 'x = 2' })[0].lines; // ['- x = 1', '+ x = 2']
+ */
+export function diffTrees(before: Tree, after: Tree): FileDifference[] {
+  const paths = [...new Set([...Object.keys(before), ...Object.keys(after)])].sort();
+  return paths.flatMap((path): FileDifference[] => {
+    const old = before[path];
+    const fresh = after[path];
+    if (old === fresh) return [];
+    const lines = diffLines(splitLines(old), splitLines(fresh));
+    if (old === undefined) return [{ path, state: 'added', lines }];
+    return [{ path, state: fresh === undefined ? 'removed' : 'changed', lines }];
+  });
+}
+
+/**
+ * The files to submit to turn one tree into the other; null removes a file.
+ *
+ * @example
+ * changedFiles({ 'a.ini': '' }, {}); // { 'a.ini': null }
+ */
+export function changedFiles(before: Tree, after: Tree): Record<string, string | null> {
+  return Object.fromEntries(
+    diffTrees(before, after).map(({ path }) => [path, after[path] ?? null]),
+  );
+}
--- a/src/settings/fleet.ts
+++ b/src/settings/fleet.ts
@@ -51,6 +51,8 @@
   version: number;
   operators: KeyHash[];
   policy: Policy;
+  /** Dialect of the workers' protocol, and whether workers refuse old epochs. */
+  worker?: { dialect: string; fencing: boolean };
   dataCentres: Record<string, DataCentre>;
   upstreams: Record<string, Upstream>;
   teams: Record<string, Team>;
--- /dev/null
+++ b/src/settings/make_settings.ts
@@ -0,0 +1,192 @@
+/**
+ * Holds the settings in force, read from the rows of the table service.
+ */
+import { Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import { Kind, refuse } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
+import { Invariant } from '../invariants/mod.ts';
+import type { Invariants } from '../invariants/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import type { Change, Head, Row } from '../schema/mod.ts';
+import type { Table } from '../table/mod.ts';
+import type { Fleet } from './fleet.ts';
+import type { Settings } from './settings.ts';
+import { buildFleet } from './tree.ts';
+import type { CheckedFiles, Tree } from './tree.ts';
+
+/** The holder, with the text of the files for operators. */
+export interface SettingsHolder extends Settings {
+  tree(): Tree;
+}
+
+const treePrefix = 'tree/';
+const pageRows = 500;
+// Each change read in between makes one more try necessary; changes come once a minute.
+const maxLoadTries = 5;
+// Peers lag by a few changes at most; a process that lags further loads the tree.
+const maxKeptChanges = 256;
+const maxRowsPerRead = 64;
+
+/**
+ * The files of a tree after a change.
+ *
+ * @example
+ * applyFiles({ 'fleet.ini': '' }, { 'fleet.ini': null }); // {}
+ */
+export function applyFiles(tree: Tree, files: Change['files']): Tree {
+  const next = { ...tree };
+  Object.entries(files).forEach(([path, text]) => {
+    if (text === null) delete next[path];
+    else next[path] = text;
+  });
+  return next;
+}
+
+async function readTree(table: Table): Outcome<Tree> {
+  const tree: Tree = {};
+  let after: string | undefined;
+  for (;;) {
+    const page = await table.scan(treePrefix, { limit: pageRows, ...(after ? { after } : {}) });
+    if (page.isLeft()) return page;
+    const rows = page.unsafeCoerce();
+    rows.forEach(({ key, value }) => {
+      if (typeof value === 'string') tree[key.slice(treePrefix.length)] = value;
+    });
+    const last = rows.at(-1);
+    if (!last || rows.length < pageRows) return Right(tree);
+    after = last.key;
+  }
+}
+
+async function readHeadVersion(table: Table): Outcome<number> {
+  const rows = await table.read(['head']);
+  return rows.map(([row]) => (row?.value as Head | undefined)?.settings ?? 0);
+}
+
+/** Reads the tree and its version; `head` before and after shows that no change came in between. */
+async function loadTree(table: Table): Outcome<{ tree: Tree; version: number }> {
+  for (let tries = 0; tries < maxLoadTries; tries++) {
+    const before = await readHeadVersion(table);
+    if (before.isLeft()) return before;
+    const tree = await readTree(table);
+    if (tree.isLeft()) return tree;
+    const after = await readHeadVersion(table);
+    if (after.isLeft()) return after;
+    const version = after.unsafeCoerce();
+    if (before.unsafeCoerce() === version) return Right({ tree: tree.unsafeCoerce(), version });
+  }
+  return refuse(Kind.NotFresh, 'the settings changed each time that they were read', {
+    got: `${maxLoadTries} tries`,
+    expected: 'one version of head before and after the read',
+  });
+}
+
+/**
+ * Makes the holder of a process; it holds no settings until `load`.
+ *
+ * @example
+ * const settings = makeSettings({ table, invariants, log: logs(Part.Settings) });
+ * await settings.load();
+ */
+export function makeSettings(parts: {
+  table: Table;
+  invariants: Invariants;
+  log: Log;
+}): SettingsHolder {
+  const { table, invariants, log } = parts;
+  const known: CheckedFiles = new Map();
+  const observers: ((fleet: Fleet) => void)[] = [];
+  let files: Tree = {};
+  let fleet = buildFleet({}, 0).unsafeCoerce();
+  let kept: Change[] = [];
+
+  const put = (next: Fleet, tree: Tree) => {
+    invariants.check(
+      Invariant.Settings,
+      next.version > fleet.version,
+      () => `settings ${next.version} would replace ${fleet.version}`,
+    );
+    fleet = next;
+    files = tree;
+    log.info('Settings are in force.', { version: next.version });
+    observers.forEach((observe) => observe(next));
+  };
+
+  const applyOne = (change: Change): Either<Failure, Fleet> => {
+    if (change.version <= fleet.version) return Right(fleet);
+    if (change.version !== fleet.version + 1) {
+      return refuse(Kind.NotFresh, 'a settings change is missing', {
+        got: change.version,
+        expected: fleet.version + 1,
+      });
+    }
+    const tree = applyFiles(files, change.files);
+    return buildFleet(tree, change.version, { known })
+      .ifLeft((cause) => {
+        // The committing process checked the tree, so another release of the program wrote it.
+        log.error('A committed settings change is not valid here.', {
+          version: change.version,
+          cause: cause.message,
+        });
+      })
+      .map((next) => {
+        kept = [...kept, change].slice(-maxKeptChanges);
+        put(next, tree);
+        return next;
+      });
+  };
+
+  const apply = (changes: Change[]): Either<Failure, Fleet> =>
+    [...changes]
+      .sort((a, b) => a.version - b.version)
+      .reduce<Either<Failure, Fleet>>(
+        (done, change) => done.chain(() => applyOne(change)),
+        Right(fleet),
+      );
+
+  const load = async (): Outcome<Fleet> => {
+    const loaded = await loadTree(table);
+    return loaded.chain(({ tree, version }) => {
+      if (version <= fleet.version) return Right(fleet);
+      return buildFleet(tree, version, { known }).map((next) => {
+        // A gap in the kept changes would give peers changes that they cannot apply.
+        kept = [];
+        put(next, tree);
+        return next;
+      });
+    });
+  };
+
+  const catchUp = async (version: number): Outcome<Fleet> => {
+    while (fleet.version < version) {
+      const from = fleet.version;
+      const count = Math.min(version - from, maxRowsPerRead);
+      const keys = Array.from({ length: count }, (_, i) => `settings/${from + 1 + i}`);
+      const read = await table.read(keys);
+      if (read.isLeft()) return read;
+      const rows: Row[] = read.unsafeCoerce();
+      if (rows.some(({ value }) => value === undefined)) return load();
+      const applied = apply(rows.map(({ value }) => value as Change));
+      if (applied.isLeft()) return applied;
+    }
+    return Right(fleet);
+  };
+
+  return {
+    current: () => fleet,
+    tree: () => files,
+    apply,
+    load,
+    catchUp,
+    after(version) {
+      const first = kept[0]?.version;
+      if (first === undefined || first > version + 1) return [];
+      return kept.filter((change) => change.version > version);
+    },
+    subscribe: (observer) => {
+      observers.push(observer);
+    },
+  };
+}
--- a/src/settings/mod.ts
+++ b/src/settings/mod.ts
@@ -1,5 +1,12 @@
 /**
  * The settings tree: files, checks, versions and the settings in force.
  */
+export * from './commit.ts';
+export * from './diff.ts';
+export * from './entry_settings.ts';
 export * from './fleet.ts';
+export * from './make_settings.ts';
+export * from './problem.ts';
 export * from './settings.ts';
+export * from './tree.ts';
+export { readTreeFolder } from './_files.ts';
--- /dev/null
+++ b/src/settings/problem.ts
@@ -0,0 +1,81 @@
+/**
+ * A fault in a settings file, told so that an operator can mend it.
+ */
+
+/** One fault; a check reports those of all files at once. */
+export interface Problem {
+  file: string;
+  line?: number;
+  section?: string;
+  key?: string;
+  message: string;
+  got?: string;
+  expected?: string;
+}
+
+/**
+ * Writes a problem as one line.
+ *
+ * @example
+ * formatProblem({ file: 'fleet.ini', section: 'policy', key: 'lease', message: 'unknown key' });
+ */
+export function formatProblem(problem: Problem): string {
+  const { file, line, section, key, message, got, expected } = problem;
+  const place = [
+    line === undefined ? file : `${file}:${line}`,
+    section ? ` [${section}]` : '',
+    key ? ` ${key}` : '',
+  ].join('');
+  const details = [
+    got === undefined ? '' : `got "${got}"`,
+    expected === undefined ? '' : `expected ${expected}`,
+  ].filter(Boolean);
+  return `${place}: ${[message, ...details].join(', ')}`;
+}
+
+/** Edits that turn one text into the other: insertions, deletions and replacements. */
+function editDistance(a: string, b: string): number {
+  let row = Array.from({ length: b.length + 1 }, (_, i) => i);
+  for (let i = 1; i <= a.length; i++) {
+    const next = [i];
+    for (let j = 1; j <= b.length; j++) {
+      const replaced = (row[j - 1] ?? 0) + (a[i - 1] === b[j - 1] ? 0 : 1);
+      next.push(Math.min(replaced, (row[j] ?? 0) + 1, (next[j - 1] ?? 0) + 1));
+    }
+    row = next;
+  }
+  return row[b.length] ?? 0;
+}
+
+// A misspelt name differs in a few letters; more than this is another word.
+const maxSuggestionDistance = 4;
+
+/**
+ * Finds the known name that a misspelt one probably means.
+ *
+ * @example
+ * nearest('limt', ['share', 'limit']); // limit
+ */
+export function nearest(name: string, known: string[]): string | undefined {
+  const short = name.slice(0, 100);
+  const [best] = known
+    .map((candidate) => ({ candidate, distance: editDistance(short, candidate) }))
+    .filter(
+      ({ distance, candidate }) =>
+        distance <= Math.min(maxSuggestionDistance, candidate.length / 2),
+    )
+    .sort((a, b) => a.distance - b.distance);
+  return best?.candidate;
+}
+
+/**
+ * Names the known names and, where one is near, the one probably meant.
+ *
+ * @example
+ * expectOneOf('limt', ['share', 'limit']); // one of share, limit (did you mean limit?)
+ */
+export function expectOneOf(name: string, known: string[]): string {
+  const suggestion = nearest(name, known);
+  const list = known.length > 0 ? `one of ${known.join(', ')}` : 'none';
+  return suggestion ? `${list} (did you mean ${suggestion}?)` : list;
+}
--- /dev/null
+++ b/src/settings/tree.ts
@@ -0,0 +1,186 @@
+/**
+ * From the files of a settings tree to the settings that the program uses.
+ */
+import { Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import { Kind, refuse } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
+import type {
+  DataCentreSection,
+  KeySection,
+  PolicySection,
+  QueueSection,
+  RackSection,
+  TeamSection,
+  UpstreamSection,
+  WorkerSection,
+} from '../schema/mod.ts';
+import { checkFile } from './_check.ts';
+import type { CheckedFile } from './_check.ts';
+import { findCrossFileProblems } from './_cross_checks.ts';
+import type { Fleet, KeyHash, Queue, Team } from './fleet.ts';
+import { formatProblem } from './problem.ts';
+import type { Problem } from './problem.ts';
+
+/** Text of each settings file by its path. */
+export type Tree = Record<string, string>;
+
+/** Files that were checked before, by path; saves reading unchanged files again. */
+export type CheckedFiles = Map<string, { text: string; file: CheckedFile }>;
+
+/** The queue of requests that name none. */
+export const defaultQueue = 'default';
+
+function checkAll(tree: Tree, known: CheckedFiles): Map<string, CheckedFile> {
+  [...known.keys()]
+    .filter((path) => !Object.hasOwn(tree, path))
+    .forEach((path) => known.delete(path));
+  return new Map(
+    Object.entries(tree).map(([path, text]) => {
+      const cached = known.get(path);
+      if (cached?.text === text) return [path, cached.file];
+      const file = checkFile(path, text);
+      known.set(path, { text, file });
+      return [path, file];
+    }),
+  );
+}
+
+function listKeys(file: CheckedFile | undefined, prefix: string): KeyHash[] {
+  return Object.entries(file?.sections ?? {})
+    .filter(([name]) => name.startsWith(`${prefix}.`))
+    .map(([name, values]) => {
+      const { salt, hash } = values as unknown as KeySection;
+      return { id: name.slice(prefix.length + 1), salt, hash };
+    });
+}
+
+function readQueue(name: string, values: QueueSection): Queue {
+  return {
+    name,
+    kinds: values.kinds,
+    open: values.open,
+    maxWaiting: values.max_waiting,
+    dataCentres: values.data_centres,
+  };
+}
+
+function readTeam(name: string, files: Map<string, CheckedFile>): Team {
+  const get = (path: string) => files.get(`teams/${name}/${path}`);
+  const { share, limit } = get('team.ini')?.sections[''] as unknown as TeamSection;
+  const defaults = checkFile(`teams/${name}/queues/${defaultQueue}.ini`, '').sections[''];
+  const queues: Team['queues'] = {
+    [defaultQueue]: readQueue(defaultQueue, defaults as unknown as QueueSection),
+  };
+  files.forEach(({ template, names, sections }) => {
+    const [team, queue] = names;
+    if (template !== 'teams/{team}/queues/{queue}.ini' || team !== name || !queue) return;
+    queues[queue] = readQueue(queue, sections[''] as unknown as QueueSection);
+  });
+  return { name, share, limit, keys: listKeys(get('keys.ini'), 'key'), queues };
+}
+
+function readPolicy(values: PolicySection): Fleet['policy'] {
+  return {
+    urgentDeadlineMs: values.urgent_deadline_ms,
+    starvationBoundMs: values.starvation_bound_ms,
+    leaseMs: values.lease_ms,
+    retryBudgetPerTeamPerMinute: values.retry_budget_per_team_per_minute,
+    evacuationTasksPerSecond: values.evacuation_tasks_per_second,
+  };
+}
+
+function readUpstreams(fleet: Fleet, rack: string, { sections }: CheckedFile): void {
+  const { data_centre: dataCentre } = sections.rack as unknown as RackSection;
+  Object.entries(sections).forEach(([name, section]) => {
+    if (!name.startsWith('upstream.')) return;
+    const values = section as unknown as UpstreamSection;
+    const id = name.slice('upstream.'.length);
+    Object.assign(fleet.upstreams, {
+      [id]: {
+        id,
+        address: values.address,
+        port: values.port,
+        dataCentre,
+        region: fleet.dataCentres[dataCentre]?.region ?? '',
+        rack,
+        capacity: {
+          processors: values.processors,
+          memoryMb: values.memory_mb,
+          accelerators: values.accelerators,
+          slots: values.slots,
+        },
+        connections: values.connections,
+        leaving: values.leaving,
+        fencing: fleet.worker?.fencing ?? true,
+      },
+    });
+  });
+}
+
+/** The fleet of files without faults. */
+function readFleet(files: Map<string, CheckedFile>, version: number): Fleet {
+  const main = files.get('fleet.ini') ?? checkFile('fleet.ini', '');
+  const { dialect, fencing } = main.sections.worker as unknown as WorkerSection;
+  const fleet: Fleet = {
+    version,
+    operators: listKeys(main, 'operator'),
+    policy: readPolicy(main.sections.policy as unknown as PolicySection),
+    worker: { dialect, fencing },
+    dataCentres: {},
+    upstreams: {},
+    teams: {},
+  };
+  const list = [...files.values()];
+  list.forEach(({ template, names: [name = ''], sections }) => {
+    if (template !== 'data-centres/{name}.ini') return;
+    const values = sections[''] as unknown as DataCentreSection;
+    fleet.dataCentres[name] = { name, region: values.region, inService: values.in_service };
+  });
+  list.forEach((file) => {
+    const [name = ''] = file.names;
+    if (file.template === 'upstreams/{rack}.ini') readUpstreams(fleet, name, file);
+    if (file.template === 'teams/{team}/team.ini') fleet.teams[name] = readTeam(name, files);
+  });
+  return fleet;
+}
+
+/**
+ * Checks all files of a tree and how they fit together; returns every fault.
+ *
+ * @example
+ * checkTree({ 'teams/millers/team.ini': 'limt = 5' }).map(formatProblem);
+ */
+export function checkTree(tree: Tree, known: CheckedFiles = new Map()): Problem[] {
+  const files = checkAll(tree, known);
+  const problems = [...files].flatMap(([path, file]) =>
+    file.template === 'entry.ini'
+      ? [
+          {
+            file: path,
+            message: 'entry.ini is no part of the tree; it lies on the host of its process',
+          },
+        ]
+      : file.problems,
+  );
+  return [...problems, ...findCrossFileProblems(files)];
+}
+
+/**
+ * Builds the settings in use from the files of a tree; fails with the faults of all files at once.
+ *
+ * @example
+ * buildFleet({ 'teams/millers/team.ini': 'limit = 100' }, 1);
+ */
+export function buildFleet(
+  files: Tree,
+  version: number,
+  { known = new Map() }: { known?: CheckedFiles } = {},
+): Either<Failure, Fleet> {
+  const problems = checkTree(files, known);
+  if (problems.length > 0) {
+    return refuse(Kind.SettingsInvalid, problems.map(formatProblem).join('\n'), { got: problems });
+  }
+  return Right(readFleet(checkAll(files, known), version));
+}
