--- a/src/schema/_generate.ts
+++ b/src/schema/_generate.ts
@@ -75,8 +75,9 @@
       return `const ${name} = ${name}Module.default ?? ${name}Module;`;
     },
   );
-  const lines = code.replaceAll('export const validate', '\nexport const validate');
-  return `// @ts-nocheck\n/* Generated from src/schema/*.json by \`npm run generate\`. */\n${imports.join('\n')}\n${module}\n`;
+  // One validator a line, so that merges of two schema changes do not always conflict.
+  const lines = module.replaceAll('export const validate', '\nexport const validate');
+  return `// @ts-nocheck\n/* Generated from src/schema/*.json by \`npm run generate\`. */\n${imports.join('\n')}\n${lines}\n`;
 }
 
 const schemas = names.map(load);
