Add key issue and verification

Cause: callers and operators are known by keys that the settings hold as salted scrypt hashes.

Change: keys carry team and key id in a readable prefix. The verifier looks the key up in the settings in force, answers from a bounded cache, and runs at most 2 scrypt hashes at a time. Reading a tree after one changed file no longer walks all files once per team.

--- /dev/null
+++ b/src/keys/keys_test.ts
@@ -0,0 +1,117 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { Kind } from '../errors/mod.ts';
+import { buildFleet } from '../settings/mod.ts';
+import type { Fleet } from '../settings/mod.ts';
+import { issueKey, makeVerifier, parseKey } from './mod.ts';
+import type { IssuedKey } from './mod.ts';
+
+const empty = buildFleet({}, 1).unsafeCoerce();
+
+function fleetWith(keys: Record<string, IssuedKey[]>): Fleet {
+  const teams = Object.entries(keys).map(([name, list]) => {
+    const hashes = list.map(({ salt, hash }, i) => ({ id: `k${i + 1}`, salt, hash }));
+    return [name, { name, share: 1, limit: 1, keys: hashes, queues: {} }] as const;
+  });
+  return { ...empty, teams: Object.fromEntries(teams) };
+}
+
+const issue = (team: string, id = 'k1') => issueKey({ owner: 'team', team, id });
+
+test('a key that verifies for another team or id would let work in for it', async () => {
+  const millers = await issue('millers');
+  const bakers = await issue('bakers');
+  const verifier = makeVerifier({
+    fleet: () => fleetWith({ millers: [millers], bakers: [bakers] }),
+  });
+  const holder = (await verifier.verify(millers.key)).unsafeCoerce();
+  assert.equal(holder, { owner: 'team', team: 'millers', id: 'k1', hash: millers.hash });
+  const forged = [
+    millers.key.replace('millers', 'bakers'),
+    millers.key.replace('k1', 'k2'),
+    millers.key.replace('millers', 'constructor'),
+    `${millers.key}x`,
+    millers.key.slice(0, -1),
+    'secret',
+    '',
+  ];
+  for (const key of forged) {
+    const { kind } = (await verifier.verify(key)).swap().unsafeCoerce();
+    assert.is(kind, Kind.KeyRejected, key);
+  }
+});
+
+test('scrypt on each request would occupy the process; one run must serve all', async () => {
+  const millers = await issue('millers');
+  const verifier = makeVerifier({ fleet: () => fleetWith({ millers: [millers] }) });
+  await Promise.all(Array.from({ length: 50 }, () => verifier.verify(millers.key)));
+  await verifier.verify(millers.key);
+  const wrong = `${millers.key.slice(0, -2)}AA`;
+  await verifier.verify(wrong);
+  await verifier.verify(wrong);
+  assert.is(verifier.state().runs, 2);
+});
+
+test('a withdrawn key served from the cache would work on', async () => {
+  const millers = await issue('millers');
+  let fleet = fleetWith({ millers: [millers] });
+  const verifier = makeVerifier({ fleet: () => fleet });
+  const holder = (await verifier.verify(millers.key)).unsafeCoerce();
+  fleet = fleetWith({ millers: [] });
+  assert.ok((await verifier.verify(millers.key)).isLeft());
+  assert.not(verifier.isInForce(holder));
+  fleet = fleetWith({ millers: [await issue('millers')] });
+  assert.ok((await verifier.verify(millers.key)).isLeft(), 'the id was issued anew');
+  assert.not(verifier.isInForce(holder));
+});
+
+test('a key withdrawn while its hash is computed would still get in', async () => {
+  const millers = await issue('millers');
+  let fleet = fleetWith({ millers: [millers] });
+  const hash = () => {
+    fleet = fleetWith({ millers: [] });
+    return Promise.resolve(millers.hash);
+  };
+  const verifier = makeVerifier({ fleet: () => fleet, hash });
+  assert.ok((await verifier.verify(millers.key)).isLeft());
+});
+
+test('a flood of guesses would take all threads and hold up keys in use', async () => {
+  const keys = [await issue('millers', 'k1'), await issue('millers', 'k2')];
+  const finish: (() => void)[] = [];
+  let most = 0;
+  let running = 0;
+  const hash = (key: string) =>
+    new Promise<string>((resolve) => {
+      running += 1;
+      most = Math.max(most, running);
+      finish.push(() => {
+        running -= 1;
+        resolve(keys.find((known) => known.key === key)?.hash ?? 'wrong');
+      });
+    });
+  const verifier = makeVerifier({ fleet: () => fleetWith({ millers: keys }), hash });
+  const guesses = await Promise.all(
+    Array.from({ length: 100 }, () => issue('millers').then(({ key }) => key)),
+  );
+  const results = guesses.map((key) => verifier.verify(key));
+  const good = verifier.verify(keys[1]?.key ?? '');
+  while (verifier.state().running > 0) {
+    finish.shift()?.();
+    await new Promise(setImmediate);
+  }
+  const kinds = (await Promise.all(results)).map((result) => result.swap().unsafeCoerce().kind);
+  assert.is(most, 2);
+  assert.is(kinds.filter((kind) => kind === Kind.TooManyConnections).length, 92);
+  assert.ok((await good).isRight());
+  assert.is(verifier.state().cached, 1);
+});
+
+test('a key whose owner cannot be read from it would be hard to withdraw when leaked', () => {
+  const secret = 'A'.repeat(43);
+  assert.equal(parseKey(`dwt_millers_k1_${secret}`), { owner: 'team', team: 'millers', id: 'k1' });
+  assert.equal(parseKey(`dwo_ana_${secret}`), { owner: 'operator', id: 'ana' });
+});
+
+test.run();
--- a/src/settings/tree.ts
+++ b/src/settings/tree.ts
@@ -33,9 +33,9 @@
 export const defaultQueue = 'default';
 
 function checkAll(tree: Tree, known: CheckedFiles): Map<string, CheckedFile> {
-  [...known.keys()]
-    .filter((path) => !Object.hasOwn(tree, path))
-    .forEach((path) => known.delete(path));
+  [...known.keys()].forEach((path) => {
+    if (!Object.hasOwn(tree, path)) known.delete(path);
+  });
   return new Map(
     Object.entries(tree).map(([path, text]) => {
       const cached = known.get(path);
@@ -66,18 +66,14 @@
   };
 }
 
+const queueDefaults = checkFile(`teams/any/queues/${defaultQueue}.ini`, '').sections[''];
+
 function readTeam(name: string, files: Map<string, CheckedFile>): Team {
   const get = (path: string) => files.get(`teams/${name}/${path}`);
   const { share, limit } = get('team.ini')?.sections[''] as unknown as TeamSection;
-  const defaults = checkFile(`teams/${name}/queues/${defaultQueue}.ini`, '').sections[''];
-  const queues: Team['queues'] = {
-    [defaultQueue]: readQueue(defaultQueue, defaults as unknown as QueueSection),
+  const queues = {
+    [defaultQueue]: readQueue(defaultQueue, queueDefaults as unknown as QueueSection),
   };
-  files.forEach(({ template, names, sections }) => {
-    const [team, queue] = names;
-    if (template !== 'teams/{team}/queues/{queue}.ini' || team !== name || !queue) return;
-    queues[queue] = readQueue(queue, sections[''] as unknown as QueueSection);
-  });
   return { name, share, limit, keys: listKeys(get('keys.ini'), 'key'), queues };
 }
 
@@ -143,6 +139,11 @@
     if (file.template === 'upstreams/{rack}.ini') readUpstreams(fleet, name, file);
     if (file.template === 'teams/{team}/team.ini') fleet.teams[name] = readTeam(name, files);
   });
+  list.forEach(({ template, names: [name = '', queue = ''], sections }) => {
+    if (template !== 'teams/{team}/queues/{queue}.ini') return;
+    const values = sections[''] as unknown as QueueSection;
+    Object.assign(fleet.teams[name]?.queues ?? {}, { [queue]: readQueue(queue, values) });
+  });
   return fleet;
 }
 
