Add the other decisions: shares, gangs, services, health, estimates, moves

Cause: every wait, placement, refusal, preemption and move needs a decision with a reason, and none existed beside placement and waiting order. Change: small pure modules for room kept for lookups, lookup routing, retry delays and budgets, worker health with quarantine and probes, learned estimates, outgrowth, reservation with backfill and preemption, gangs, services, shares with reclaim, the share digest, evacuation and isolation.

--- /dev/null
+++ b/src/decisions/estimates_test.ts
@@ -0,0 +1,68 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { curbOutgrowth, makeEstimates } from './mod.ts';
+import type { MeasuredTask } from './mod.ts';
+
+const size = { processors: 2, memoryMb: 1_000, accelerators: 0, slots: 1 };
+const need = { team: 'a', kind: 'batch' as const, size, estimateMs: 1_000 };
+
+test('run times declared ten times too short would spoil backfill', () => {
+  const estimates = makeEstimates();
+  assert.is(estimates.runMs(need, 0.9), 1_000);
+  for (let i = 0; i < 30; i++) {
+    estimates.observe({ ...need, declared: size, runMs: 10_000 });
+  }
+  const learned = estimates.runMs(need, 0.9);
+  assert.ok(learned > 8_000 && learned < 13_000, String(learned));
+});
+
+test('a size lowered on a guess would over-commit a worker', () => {
+  const estimates = makeEstimates();
+  const used = { ...size, processors: 0.2, memoryMb: 5_000 };
+  for (let i = 0; i < 30; i++) estimates.observe({ ...need, declared: size, used });
+  const learned = estimates.size(need);
+  assert.is(learned.processors, 2);
+  assert.ok(learned.memoryMb >= 4_500, String(learned.memoryMb));
+});
+
+test('estimates for every team that ever was would fill the memory', () => {
+  const estimates = makeEstimates();
+  for (let i = 0; i < 5_000; i++) {
+    estimates.observe({ ...need, team: `t${i}`, declared: size, runMs: 1 });
+  }
+  assert.ok(estimates.entries() <= 1_024);
+});
+
+function measured(task: string, changes: Partial<MeasuredTask>): MeasuredTask {
+  return { task, size, usage: size, checkpoint: false, service: false, ...changes };
+}
+
+const capacity = { processors: 8, memoryMb: 4_000, accelerators: 0, slots: 8 };
+
+test('a task that outgrows its size would put its host over its room', () => {
+  const tasks = [
+    measured('steady', {}),
+    measured('grows', {
+      checkpoint: true,
+      usage: { ...size, memoryMb: 2_200 },
+      previous: { ...size, memoryMb: 1_500 },
+    }),
+  ];
+  const curbs = curbOutgrowth({ capacity, tasks });
+  assert.equal(
+    curbs.map(({ task, mode }) => [task, mode]),
+    [['grows', 'checkpoint']],
+  );
+});
+
+test('a task within its size would be stopped for what another one uses', () => {
+  const usage = { ...size, processors: 9 };
+  const curbs = curbOutgrowth({ capacity, tasks: [measured('a', {}), measured('b', { usage })] });
+  assert.equal(
+    curbs.map(({ task, mode }) => [task, mode]),
+    [['b', 'throttle']],
+  );
+});
+
+test.run();
--- /dev/null
+++ b/src/decisions/headroom.ts
@@ -0,0 +1,61 @@
+/**
+ * Room kept free for urgent lookups, from their arrival rate and run time.
+ *
+ * With arrivals at rate r and mean run time s, the lookups in progress number r·s on average and
+ * vary by the square root of that, whatever the distribution of run times is. Room is kept for
+ * three deviations above the mean, less what lookups already hold.
+ */
+
+/** Observes lookups and says how much room to keep. */
+export interface LookupHeadroom {
+  arrived(now: number): void;
+  finished(runMs: number): void;
+  /** Places that heavy work must leave free now. */
+  kept(now: number, inProgress: number): number;
+}
+
+interface Rate {
+  halfLifeMs: number;
+  perMs: number;
+  at: number;
+}
+
+const deviations = 3;
+
+function decayed({ halfLifeMs, perMs, at }: Rate, now: number): number {
+  return perMs * 0.5 ** (Math.max(0, now - at) / halfLifeMs);
+}
+
+/**
+ * Makes the headroom of one process.
+ *
+ * @example
+ * const headroom = makeLookupHeadroom();
+ * headroom.arrived(now);
+ * headroom.kept(now, 0);
+ */
+export function makeLookupHeadroom({
+  minPlaces = 2,
+  // A fast rate follows bursts, a slow one remembers them; the larger counts.
+  halfLivesMs = [5_000, 120_000],
+}: { minPlaces?: number; halfLivesMs?: number[] } = {}): LookupHeadroom {
+  const rates: Rate[] = halfLivesMs.map((halfLifeMs) => ({ halfLifeMs, perMs: 0, at: 0 }));
+  let meanRunMs = 100;
+  return {
+    arrived(now) {
+      rates.forEach((rate) => {
+        const next = rate;
+        next.perMs = decayed(rate, now) + Math.LN2 / rate.halfLifeMs;
+        next.at = now;
+      });
+    },
+    finished(runMs) {
+      meanRunMs += (runMs - meanRunMs) * 0.02;
+    },
+    kept(now, inProgress) {
+      const perMs = rates.reduce((most, rate) => Math.max(most, decayed(rate, now)), 0);
+      const mean = perMs * meanRunMs;
+      return Math.max(minPlaces, Math.ceil(mean + deviations * Math.sqrt(mean) - inProgress));
+    },
+  };
+}
--- /dev/null
+++ b/src/decisions/lookups_test.ts
@@ -0,0 +1,54 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { makeRandom } from '../clock/mod.ts';
+import { makeLookupHeadroom, makeRetryBudget, retryDelayMs, routeLookup } from './mod.ts';
+import type { LookupState } from './mod.ts';
+
+const state: LookupState = {
+  remainingMs: 1_600,
+  free: false,
+  queued: 0,
+  places: 10,
+  meanRunMs: 100,
+  mayHandOver: true,
+  peers: [{ id: 'm2', waitMs: 20, ageMs: 100 }],
+  hopMs: 3,
+};
+
+test('a lookup that cannot start in time would hold its caller until the deadline', () => {
+  const route = (changes: Partial<LookupState>) =>
+    routeLookup({ ...state, ...changes }, makeRandom(1)).action;
+  assert.is(route({ free: true }), 'place');
+  assert.is(route({}), 'wait');
+  assert.is(route({ queued: 100 }), 'hand-over');
+  assert.is(route({ queued: 200, mayHandOver: false }), 'shed');
+  assert.is(route({ queued: 200, peers: [{ id: 'm2', waitMs: 9_000, ageMs: 10 }] }), 'shed');
+});
+
+test('room kept for lookups that ignores their rate would be too little at a peak', () => {
+  const headroom = makeLookupHeadroom();
+  assert.is(headroom.kept(0, 0), 2);
+  for (let now = 0; now < 60_000; now += 20) {
+    headroom.arrived(now);
+    headroom.finished(200);
+  }
+  const peak = headroom.kept(60_000, 0);
+  assert.ok(peak >= 15 && peak <= 30, String(peak));
+  assert.ok(headroom.kept(60_000, 10) < peak);
+  assert.is(headroom.kept(3_600_000, 0), 2);
+});
+
+test('retries in step, or without end, would keep a failed service down', () => {
+  const random = makeRandom(3);
+  const delays = Array.from({ length: 50 }, () => retryDelayMs(3, random));
+  assert.ok(Math.min(...delays) >= 2_000 && Math.max(...delays) <= 4_000);
+  assert.ok(new Set(delays).size > 40);
+  const budget = makeRetryBudget({ perMinute: 2 });
+  assert.equal(
+    [0, 0, 0, 30_000].map((now) => budget.take('a', now)),
+    [true, true, false, true],
+  );
+});
+
+test.run();
--- /dev/null
+++ b/src/decisions/reservation.ts
@@ -0,0 +1,141 @@
+/**
+ * The reservation for the oldest work that does not fit: which worker it waits for, which other
+ * work may still start there, and what is stopped when the worker does not become free in time.
+ */
+import type { Size } from '../schema/mod.ts';
+import { fits, plus } from './_size.ts';
+
+/** A running task as a reservation sees it. */
+export interface HeldTask {
+  task: string;
+  size: Size;
+  startedAt: number;
+  /** When the task is expected to have ended, at a high quantile. */
+  expectedEndAt: number;
+  checkpoint: boolean;
+  service: boolean;
+}
+
+/** A worker with its running tasks. */
+export interface HeldWorker {
+  id: string;
+  capacity: Size;
+  tasks: HeldTask[];
+}
+
+/** Where the work will start, and when. */
+export interface Reservation {
+  worker: string;
+  expectedAt: number;
+  reason: string;
+}
+
+/**
+ * Picks the worker that is expected to have room first. The former choice is kept unless another
+ * one is expected to be free in half the time, because changing workers wastes what was kept free.
+ *
+ * @example
+ * planReservation({ size, workers, now })?.worker;
+ */
+export function planReservation({
+  size,
+  workers,
+  now,
+  former,
+}: {
+  size: Size;
+  workers: HeldWorker[];
+  now: number;
+  former?: string;
+}): Reservation | undefined {
+  let best: Reservation | undefined;
+  let kept: Reservation | undefined;
+  workers.forEach(({ id, capacity, tasks }) => {
+    if (!fits(size, capacity)) return;
+    let free = tasks.reduce((room, task) => plus(room, task.size, -1), capacity);
+    let expectedAt = now;
+    const byEnd = [...tasks].sort((left, right) => left.expectedEndAt - right.expectedEndAt);
+    for (let i = 0; i < byEnd.length && !fits(size, free); i++) {
+      const task = byEnd[i];
+      if (task) {
+        free = plus(free, task.size);
+        // A task past its expected end may run as long again as it has run.
+        expectedAt =
+          task.expectedEndAt > now ? task.expectedEndAt : now + (now - task.startedAt) / 2;
+      }
+    }
+    const seconds = Math.round((expectedAt - now) / 1_000);
+    const plan = { worker: id, expectedAt, reason: `room expected on ${id} in ${seconds} s` };
+    if (id === former) kept = plan;
+    if (!best || expectedAt < best.expectedAt) best = plan;
+  });
+  if (kept && best && kept.expectedAt - now <= 2 * (best.expectedAt - now)) return kept;
+  return best;
+}
+
+/**
+ * Says whether other work may start on a worker beside the reservation: on other workers always, on
+ * the reserved one only if it is expected to end before the reserved work starts.
+ *
+ * @example
+ * mayBackfill(reservation, { worker: 'w1', expectedEndAt });
+ */
+export function mayBackfill(
+  reservation: Reservation | undefined,
+  { worker, expectedEndAt }: { worker: string; expectedEndAt: number },
+): boolean {
+  if (reservation?.worker !== worker) return true;
+  return expectedEndAt <= reservation.expectedAt;
+}
+
+/** A task to stop so that reserved work keeps its bound. */
+export interface Preemption {
+  task: string;
+  mode: 'checkpoint' | 'stop';
+  reason: string;
+}
+
+/**
+ * Picks the tasks to stop on the worker where that loses the least work. Services are never
+ * stopped for it, and tasks without a checkpoint only after all with one.
+ *
+ * @example
+ * planPreemption({ size, workers, now });
+ */
+export function planPreemption({
+  size,
+  workers,
+  now,
+}: {
+  size: Size;
+  workers: HeldWorker[];
+  now: number;
+}): Preemption[] {
+  let best: Preemption[] = [];
+  let bestLoss = Infinity;
+  workers.forEach(({ capacity, tasks }) => {
+    if (!fits(size, capacity)) return;
+    let free = tasks.reduce((room, task) => plus(room, task.size, -1), capacity);
+    let loss = 0;
+    const lossOf = (task: HeldTask) =>
+      (task.checkpoint ? 10_000 : now - task.startedAt + 60_000) * (1 + task.size.processors);
+    const victims: Preemption[] = [];
+    tasks
+      .filter((task) => !task.service)
+      .sort((left, right) => lossOf(left) - lossOf(right))
+      .forEach((task) => {
+        if (fits(size, free)) return;
+        free = plus(free, task.size);
+        loss += lossOf(task);
+        victims.push({
+          task: task.task,
+          mode: task.checkpoint ? 'checkpoint' : 'stop',
+          reason: 'makes room for the oldest waiting work within its bound',
+        });
+      });
+    if (!fits(size, free) || loss >= bestLoss) return;
+    best = victims;
+    bestLoss = loss;
+  });
+  return best;
+}
--- /dev/null
+++ b/src/decisions/services.ts
@@ -0,0 +1,107 @@
+/**
+ * Services: the wanted number of replicas, spread over racks and data centres, replaced when lost
+ * and moved with a surge before the stop.
+ */
+
+/** A replica of a service. */
+export interface Replica {
+  task: string;
+  worker: string;
+  rack: string;
+  dataCentre: string;
+  /** `starting` until it is known to run. */
+  state: 'starting' | 'running' | 'lost';
+  /** Its host leaves, or its data centre goes out of service. */
+  leaving: boolean;
+}
+
+/** One step for a service. */
+export interface ServiceStep {
+  action: 'start' | 'stop';
+  /** For a stop. */
+  task?: string;
+  /** For a start: places that are used already. */
+  avoidRacks?: string[];
+  avoidDataCentres?: string[];
+  reason: string;
+}
+
+/** What a service should look like. */
+export interface ServiceRequest {
+  replicas: number;
+  spread: 'none' | 'rack' | 'data-centre';
+  /** Replicas beyond the wanted number that may exist during a move. */
+  surge?: number;
+}
+
+function mostUsed(values: string[]): string | undefined {
+  const counts = new Map<string, number>();
+  values.forEach((value) => counts.set(value, (counts.get(value) ?? 0) + 1));
+  return [...counts].sort(([, left], [, right]) => right - left)[0]?.[0];
+}
+
+// Domains that hold as many replicas as the fullest one; the next replica goes elsewhere.
+function fullest(values: string[]): string[] {
+  const counts = new Map<string, number>();
+  values.forEach((value) => counts.set(value, (counts.get(value) ?? 0) + 1));
+  const all = [...counts.values()];
+  const most = Math.max(0, ...all);
+  const least = Math.min(...all);
+  // With equal counts a domain without a replica is wanted, if there is one.
+  return [...counts].filter(([, count]) => count === most || count > least).map(([name]) => name);
+}
+
+/**
+ * Decides the next steps of a service. A replica that runs is stopped only when all wanted replicas
+ * run elsewhere, so the service never has fewer running replicas because of a move.
+ *
+ * @example
+ * planService({ replicas: 3, spread: 'rack' }, replicas);
+ */
+export function planService(request: ServiceRequest, replicas: Replica[]): ServiceStep[] {
+  const { replicas: wanted, spread, surge = Math.max(1, Math.floor(wanted / 4)) } = request;
+  const alive = replicas.filter(({ state }) => state !== 'lost');
+  const staying = alive.filter(({ leaving }) => !leaving);
+  const steps: ServiceStep[] = [];
+
+  const missing = wanted - alive.length;
+  const moving = Math.min(alive.length - staying.length, surge - (alive.length - wanted));
+  const starts = Math.min(
+    Math.max(0, missing) + Math.max(0, missing > 0 ? 0 : moving),
+    Math.max(0, wanted - staying.length),
+  );
+  const racks = staying.map(({ rack }) => rack);
+  const centres = staying.map(({ dataCentre }) => dataCentre);
+  const lost = replicas.some(({ state }) => state === 'lost');
+  const startReason = () => {
+    if (missing <= 0) return 'replaces a replica on a leaving host before that one is stopped';
+    return lost ? 'replaces a lost replica' : `${alive.length} of ${wanted} replicas exist`;
+  };
+  for (let i = 0; i < starts; i++) {
+    steps.push({
+      action: 'start',
+      avoidRacks: spread === 'none' ? [] : fullest(racks),
+      avoidDataCentres: spread === 'data-centre' ? fullest(centres) : [],
+      reason: startReason(),
+    });
+  }
+
+  const running = alive.filter(({ state }) => state === 'running');
+  let surplus = running.length - wanted;
+  const leaving = running.filter((replica) => replica.leaving);
+  const crowded = mostUsed(running.map(({ dataCentre }) => dataCentre));
+  const others = running
+    .filter((replica) => !replica.leaving)
+    .sort(
+      (left, right) =>
+        Number(right.dataCentre === crowded) - Number(left.dataCentre === crowded) ||
+        (left.task < right.task ? 1 : -1),
+    );
+  [...leaving, ...others].forEach(({ task, leaving: leaves }) => {
+    if (surplus <= 0) return;
+    surplus -= 1;
+    const reason = leaves ? 'its replacement runs' : `more than ${wanted} replicas run`;
+    steps.push({ action: 'stop', task, reason });
+  });
+  return steps;
+}
