Add membership, ownership and limits

The processes need to agree on who is a member, who owns which worker and how many units of a team's limit each may use.

Decisions are pure functions (freshness, ring, plan, allotments, ledger); the tasks around them do the I/O over the writer lane and the table.

The tasks have not run against the real lane yet.

--- /dev/null
+++ b/src/limits/allotments_test.ts
@@ -0,0 +1,98 @@
+import fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { makeInvariants, throwOnViolation } from '../invariants/mod.ts';
+import type { Allotment } from '../schema/mod.ts';
+import {
+  borrowUnits,
+  changeLimit,
+  changeLimits,
+  chunkSize,
+  heldByAll,
+  makeLedger,
+  moveUnits,
+  returnUnits,
+} from './mod.ts';
+
+const members = ['a', 'b', 'c'];
+const step = fc.oneof(
+  fc.record({ do: fc.constant('borrow'), member: fc.constantFrom(...members), count: fc.nat(9) }),
+  fc.record({ do: fc.constant('return'), member: fc.constantFrom(...members), count: fc.nat(9) }),
+  fc.record({ do: fc.constant('move'), member: fc.constantFrom(...members), count: fc.nat(9) }),
+  fc.record({ do: fc.constant('limit'), member: fc.constantFrom(...members), count: fc.nat(9) }),
+);
+
+test('any order of changes that lets the sum exceed the limit would break the team limit', () => {
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 30 }), (steps) => {
+      let allotment: Allotment = { limit: 5, held: {} };
+      steps.forEach(({ do: action, member, count }) => {
+        if (action === 'borrow') allotment = borrowUnits(allotment, { member, count });
+        else if (action === 'return') allotment = returnUnits(allotment, { member, count });
+        else if (action === 'limit') allotment = changeLimit(allotment, count);
+        else allotment = moveUnits(allotment, { from: ['b', 'c'], to: member, count });
+        assert.ok(heldByAll(allotment) <= allotment.limit);
+        assert.ok(Object.values(allotment.held).every((held) => held > 0));
+      });
+    }),
+    { seed: 1 },
+  );
+});
+
+test('a lowered limit that ignores proportions would empty some holders and spare others', () => {
+  const lowered = changeLimit({ limit: 10, held: { a: 6, b: 4 } }, 5);
+  assert.equal(lowered, { limit: 5, held: { a: 3, b: 2 } });
+  assert.equal(changeLimit({ limit: 3, held: { a: 1, b: 1, c: 1 } }, 2).held, { a: 1, b: 1 });
+});
+
+test('a settings change must write the row of a team that has none yet', () => {
+  const written = changeLimits({
+    before: { mill: 10, press: 4, gone: 2 },
+    after: { mill: 5, press: 4, fresh: 7 },
+    rows: { gone: { limit: 2, held: { a: 2 } } },
+  });
+  assert.equal(written, {
+    fresh: { limit: 7, held: {} },
+    gone: { limit: 0, held: {} },
+    mill: { limit: 5, held: {} },
+  });
+});
+
+test('moving more units than the sources hold would create units', () => {
+  const moved = moveUnits({ limit: 3, held: { d: 1 } }, { from: ['d'], to: 'x', count: 2 });
+  assert.equal(moved.held, { x: 1 });
+});
+
+test('a chunk of a small limit is one unit', () => {
+  assert.is(chunkSize(3, 8), 1);
+  assert.is(chunkSize(160, 8), 10);
+  assert.is(chunkSize(100_000, 8), 64);
+});
+
+test('parked units that count as free would be used twice', () => {
+  const ledger = makeLedger({ invariants: makeInvariants({ onViolation: throwOnViolation }) });
+  ledger.set('mill', 3, { lowerings: 0 });
+  assert.ok(ledger.take('mill', 2));
+  ledger.park('w1', { mill: 2 });
+  assert.is(ledger.used('mill'), 0);
+  assert.is(ledger.free('mill'), 1);
+  ledger.set('mill', 1, { lowerings: 0 });
+  ledger.unpark('w1');
+  assert.is(ledger.free('mill'), 1);
+  assert.not(ledger.take('mill', 2));
+});
+
+test('an old read must not undo a limit that a settings change has lowered', () => {
+  const ledger = makeLedger({ invariants: makeInvariants({ onViolation: throwOnViolation }) });
+  ledger.set('mill', 5, { lowerings: 0 });
+  ledger.take('mill', 4);
+  ledger.lowerByChange('mill', 2);
+  ledger.set('mill', 5, { lowerings: 0 });
+  assert.is(ledger.held('mill'), 2);
+  assert.is(ledger.excess('mill'), 2);
+  ledger.set('mill', 3, { lowerings: 1 });
+  assert.is(ledger.held('mill'), 3);
+});
+
+test.run();
--- /dev/null
+++ b/src/membership/_round.ts
@@ -0,0 +1,63 @@
+/**
+ * One round of questions to all known members, asked when the table service did not answer.
+ */
+import type { Clock } from '../clock/mod.ts';
+import type { Peers } from '../peers/mod.ts';
+import type { FreshAnswer, FreshQuestion } from '../schema/mod.ts';
+import type { Settings } from '../settings/mod.ts';
+import type { Round } from './freshness.ts';
+import type { View } from './membership.ts';
+
+// With the 600 ms of a failed heartbeat, one lost round still leaves 1.4 s of the 2.5 s of freshness.
+const answerTimeoutMs = 500;
+
+/**
+ * Asks every other member of the view at once.
+ *
+ * @example
+ * const round = await askAll({ view, question, peers, clock });
+ */
+export async function askAll(options: {
+  view: View;
+  question: FreshQuestion;
+  peers: Peers;
+  clock: Clock;
+}): Promise<Round> {
+  const { view, question, peers, clock } = options;
+  const begunAt = clock.now();
+  const answers = new Map<string, FreshAnswer | undefined>();
+  await Promise.all(
+    view.members
+      .filter(({ id }) => id !== question.member)
+      .map(async (member) => {
+        answers.set(member.id, undefined);
+        const outcome = await peers(member).fresh(question, { timeoutMs: answerTimeoutMs });
+        answers.set(member.id, outcome.toMaybe().extract());
+      }),
+  );
+  return { begunAt, answers };
+}
+
+/**
+ * Fetches settings changes from a peer that has a newer version; used while the table service is out
+ * of reach.
+ *
+ * @example
+ * await catchUpFromPeers({ view, round, peers, settings });
+ */
+export async function catchUpFromPeers(options: {
+  view: View;
+  round: Round;
+  peers: Peers;
+  settings: Settings;
+}): Promise<boolean> {
+  const { view, round, peers, settings } = options;
+  const after = settings.current().version;
+  const sources = view.members.filter(({ id }) => (round.answers.get(id)?.settings ?? 0) > after);
+  for (const source of sources) {
+    const changes = await peers(source).changes({ after }, { timeoutMs: answerTimeoutMs });
+    const applied = changes.chain((list) => settings.apply(list));
+    if (applied.isRight() && settings.current().version > after) return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/src/membership/_table_side.ts
@@ -0,0 +1,134 @@
+/**
+ * The exchanges of membership with the table service: reading the view and expelling a member.
+ */
+import { Left, Right } from 'purify-ts';
+
+import { Kind, failure } from '../errors/mod.ts';
+import type { Outcome } from '../errors/mod.ts';
+import type { Departed, Head, Member, Row } from '../schema/mod.ts';
+import type { Table } from '../table/mod.ts';
+import type { Identity, MemberLane } from './lane.ts';
+import type { View } from './membership.ts';
+import { scanAll } from './scan.ts';
+
+/** The row `head` before anybody has written it. */
+export const emptyHead: Head = { settings: 0, membership: 0 };
+
+/** A view that was the present one at some moment during the read. */
+export interface ReadView {
+  view: View;
+  head: Head;
+  /** A member that a provisional member expelled awaits settlement. */
+  unsettled: boolean;
+}
+
+/**
+ * Reads all members. `head` is read before and after; a scan during which membership changed is not
+ * used, since it could miss both a member and the settings that this member committed.
+ *
+ * @example
+ * const read = await readView(table);
+ */
+export async function readView(table: Table): Outcome<ReadView> {
+  const before = await table.read(['head']);
+  if (before.isLeft()) return before;
+  const members = await scanAll(table, 'members/');
+  if (members.isLeft()) return members;
+  const departed = await scanAll(table, 'departed/');
+  if (departed.isLeft()) return departed;
+  const after = await table.read(['head']);
+  if (after.isLeft()) return after;
+  const headOf = (rows: Row[]) => (rows[0]?.value ?? emptyHead) as Head;
+  const head = headOf(after.orDefault([]));
+  if (headOf(before.orDefault([])).membership !== head.membership) {
+    return Left(failure(Kind.TableConflict, 'membership changed while it was read'));
+  }
+  return Right({
+    view: {
+      version: head.membership,
+      members: members.orDefault([]).map((row) => row.value as Member),
+    },
+    head,
+    unsettled: departed.orDefault([]).some((row) => !(row.value as Departed).full),
+  });
+}
+
+const advanced = (row: Row | undefined) => {
+  const head = (row?.value ?? emptyHead) as Head;
+  return {
+    checks: [{ key: 'head', version: row?.version ?? 0 }],
+    writes: [{ key: 'head', value: { ...head, membership: head.membership + 1 } }],
+  };
+};
+
+/**
+ * Joins under the id, and advances `head.membership` in the same transaction.
+ *
+ * @example
+ * await joinAs(lane, { table, identity, timeoutMs: 2_000 });
+ */
+export async function joinAs(
+  lane: MemberLane,
+  { table, identity, timeoutMs }: { table: Table; identity: Identity; timeoutMs: number },
+): Outcome<unknown> {
+  const read = await table.read(['head']);
+  if (read.isLeft()) return read;
+  const [row] = read.orDefault([]);
+  const joined = ((row?.value ?? emptyHead) as Head).membership + 1;
+  return lane.join(
+    { ...identity, joined, seen: 0, draining: false },
+    { memberKey: `members/${identity.id}`, mutation: advanced(row), timeoutMs },
+  );
+}
+
+/**
+ * Marks the own row as draining. The membership version advances, so that the others pass this member
+ * over when they decide who should own what.
+ *
+ * @example
+ * await markDraining(lane, { table, id });
+ */
+export async function markDraining(
+  lane: MemberLane,
+  { table, id }: { table: Table; id: string },
+): Outcome<unknown> {
+  const read = await table.read(['head']);
+  if (read.isLeft()) return read;
+  const { checks, writes } = advanced(read.orDefault([])[0]);
+  const own = { key: `members/${id}`, value: { draining: true } };
+  return lane.commit({ checks, writes: [own, ...writes] });
+}
+
+/**
+ * Deletes the own row, and advances `head.membership` in the same transaction.
+ *
+ * @example
+ * await leaveAs(lane, { table, timeoutMs: 2_000 });
+ */
+export async function leaveAs(
+  lane: MemberLane,
+  { table, timeoutMs }: { table: Table; timeoutMs: number },
+): Outcome<unknown> {
+  const read = await table.read(['head']);
+  if (read.isLeft()) return read;
+  return lane.leave({ mutation: advanced(read.orDefault([])[0]), timeoutMs });
+}
+
+/**
+ * Deletes the row of a member that has not changed it, in one transaction with `departed/{id}`.
+ *
+ * @example
+ * await expelMember(lane, { stale, head, by: 'm1', full: true });
+ */
+export function expelMember(
+  lane: MemberLane,
+  { stale, head, by, full }: { stale: Row; head: Row; by: string; full: boolean },
+): Outcome<unknown> {
+  const { id, address } = stale.value as Member;
+  const departed: Departed = { id, by, full, address };
+  const { checks, writes } = advanced(head);
+  return lane.commit({
+    checks: [{ key: stale.key, version: stale.version }, ...checks],
+    writes: [{ key: stale.key }, { key: `departed/${id}`, value: departed }, ...writes],
+  });
+}
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -26,6 +26,8 @@
 export interface Membership {
   /** Present member id; a new one after an expulsion. */
   id(): string;
+  /** Ids under which this process was a member before it was expelled. */
+  formerIds(): string[];
   phase(): Phase;
   view(): View;
   /** Views of the last while, newest first, with the time since each was replaced. */
@@ -34,10 +36,17 @@
   isFresh(): boolean;
   /** Until when, by the process's monotonic clock. */
   freshUntil(): number;
-  /** True while a settings change may be committed by this process. */
+  /**
+   * True while a settings change may be committed by this process. The transaction has to check the
+   * version of `head`, and `head.membership` has to be the version of the present view: a member
+   * expelled since then could otherwise go unnoticed.
+   */
   mayCommitSettings(): boolean;
-  /** Blocks promises for the time of a settings commit; call the result when its outcome is known. */
-  beginSettingsCommit(): () => void;
+  /**
+   * Blocks promises for the time of a settings commit. Call the result when the commit has ended;
+   * where its outcome is unknown, with `certain: false`, and promises stay blocked until it is known.
+   */
+  beginSettingsCommit(): (end?: { certain?: boolean }) => void;
   /** Answers a peer that asks for a relay or a promise. */
   vouch(question: FreshQuestion): FreshAnswer;
   subscribe(observer: (view: View) => void): void;
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -1,4 +1,11 @@
 /**
  * Membership: own row, heartbeat, expulsion, freshness and promises.
  */
+export * from './freshness.ts';
+export * from './lane.ts';
+export * from './lifecycle.ts';
 export * from './membership.ts';
+export * from './ring.ts';
+export * from './rules.ts';
+export * from './scan.ts';
+export * from './task.ts';
--- /dev/null
+++ b/src/membership/ring_test.ts
@@ -0,0 +1,78 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type { Member, Row } from '../schema/mod.ts';
+import {
+  LifeEvent,
+  Phase,
+  isFull,
+  makeLifecycle,
+  noObservations,
+  observe,
+  successors,
+} from './mod.ts';
+
+const member = (id: string, joined: number, seen: number): Member => ({
+  id,
+  address: '127.0.0.1',
+  port: 1,
+  dataCentre: 'd',
+  region: 'r',
+  joined,
+  seen,
+  sequence: 1,
+  operation: 'o',
+  draining: false,
+});
+const row = (version: number): Row => ({ key: 'members/d', version, value: {} });
+
+test('a ring that does not wrap would leave the first members unwatched', () => {
+  assert.equal(successors('c', ['a', 'b', 'c', 'd'], 2), ['d', 'a']);
+  assert.equal(successors('d', ['a', 'b', 'c', 'd']), ['a', 'b', 'c']);
+  assert.equal(successors('a', ['a']), []);
+});
+
+const watch = (times: [begunAt: number, version: number][]) => {
+  let observations = noObservations;
+  let stale: Row[] = [];
+  times.forEach(([begunAt, version]) => {
+    const rows = [row(version)];
+    ({ observations, stale } = observe(observations, { begunAt, endedAt: begunAt + 5, rows }));
+  });
+  return stale.length;
+};
+
+test('a member is stale only after 3 s of unchanged reads', () => {
+  const beats = (until: number) =>
+    Array.from({ length: until }, (_, n) => [n * 800, 1] as [number, number]);
+  assert.is(watch(beats(4)), 0);
+  assert.is(watch(beats(5)), 1);
+  assert.is(watch([...beats(4), [3_200, 2]]), 0);
+});
+
+test('an outage between two reads must not count as silence of the member', () => {
+  assert.is(
+    watch([
+      [0, 1],
+      [60_000, 1],
+    ]),
+    0,
+  );
+});
+
+test('a joiner that an older member has not seen could commit without its knowledge', () => {
+  const older = member('a', 1, 1);
+  assert.not(isFull('b', [older, member('b', 2, 2)]));
+  assert.ok(isFull('b', [{ ...older, seen: 2 }, member('b', 2, 0), member('c', 3, 0)]));
+  assert.not(isFull('b', [older]));
+});
+
+test('an expelled process must join again before it can drain or commit', () => {
+  const lifecycle = makeLifecycle();
+  [LifeEvent.Joined, LifeEvent.SeenByAll, LifeEvent.Expel, LifeEvent.Drain].forEach(lifecycle.send);
+  assert.is(lifecycle.phase(), Phase.Expelled);
+  [LifeEvent.Rejoin, LifeEvent.Joined, LifeEvent.Drain, LifeEvent.Leave].forEach(lifecycle.send);
+  assert.is(lifecycle.phase(), Phase.Left);
+});
+
+test.run();
--- /dev/null
+++ b/src/membership/scan.ts
@@ -0,0 +1,29 @@
+/**
+ * Reading all rows below a prefix.
+ */
+import { Right } from 'purify-ts';
+
+import type { Outcome } from '../errors/mod.ts';
+import type { Row } from '../schema/mod.ts';
+import type { Table } from '../table/mod.ts';
+
+const pageSize = 500;
+
+/**
+ * Reads all rows below a prefix, page by page. Pages are read one after the other, so that the rows
+ * are of one moment only when they fit into one page.
+ *
+ * @example
+ * const rows = await scanAll(table, 'members/');
+ */
+export async function scanAll(table: Table, prefix: string): Outcome<Row[]> {
+  const rows: Row[] = [];
+  for (;;) {
+    const after = rows.at(-1)?.key;
+    const page = await table.scan(prefix, { limit: pageSize, ...(after ? { after } : {}) });
+    if (page.isLeft()) return page;
+    const got = page.orDefault([]);
+    rows.push(...got);
+    if (got.length < pageSize) return Right(rows);
+  }
+}
--- /dev/null
+++ b/src/ownership/_fences.ts
@@ -0,0 +1,125 @@
+/**
+ * Fences on their way, and fenced workers that are not settled yet. While the table service is out of
+ * reach these are renewed, so that their tasks go on.
+ */
+import type { Clock } from '../clock/mod.ts';
+import { Kind } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
+import type { RunningTask, Upstream, WorkerState } from '../schema/mod.ts';
+import type { Workers } from '../workers/mod.ts';
+
+/** A worker whose fence was answered at the epoch of its row. */
+export interface Fenced {
+  upstream: Upstream;
+  epoch: number;
+  state: WorkerState;
+  renewedAt: number;
+}
+
+/** Fences of one process. */
+export interface Fences {
+  /** Sends a fence unless one is on its way or the last one failed a moment ago. */
+  request(upstream: Upstream, options: { owner: string; epoch: number }): void;
+  ready(): Fenced[];
+  remove(worker: string): void;
+  /** Since when all fences of the worker have failed. */
+  failingSince(worker: string): number | undefined;
+  renew(leaseMs: number): Promise<void>;
+  reset(): void;
+}
+
+const retryMs = 1_000;
+const maxRetryMs = 8_000;
+const renewEveryMs = 10_000;
+
+function withChanges(tasks: RunningTask[], changed: RunningTask[]): RunningTask[] {
+  const byId = new Map(tasks.map((task) => [task.task, task]));
+  changed.forEach((task) => byId.set(task.task, task));
+  return [...byId.values()];
+}
+
+/**
+ * Makes the fences of a process.
+ *
+ * @example
+ * const fences = makeFences({ workers, clock, onStale: (worker) => reread(worker) });
+ */
+export function makeFences({
+  workers,
+  clock,
+  onStale,
+}: {
+  workers: Workers;
+  clock: Clock;
+  /** Called when the worker has seen a higher epoch: the row is to be read again. */
+  onStale: (worker: string) => void;
+}): Fences {
+  const pending = new Set<string>();
+  const ready = new Map<string, Fenced>();
+  const failures = new Map<string, { since: number; retryAt: number; count: number }>();
+  let generation = 0;
+
+  const fail = (worker: string) => {
+    const now = clock.now();
+    const { since = now, count = 0 } = failures.get(worker) ?? {};
+    const wait = Math.min(maxRetryMs, retryMs * 2 ** count);
+    failures.set(worker, { since, count: Math.min(count + 1, 8), retryAt: now + wait });
+  };
+
+  const send = async (upstream: Upstream, options: { owner: string; epoch: number }) => {
+    const started = generation;
+    const outcome: Awaited<Outcome<WorkerState>> = await workers.fence(upstream, options);
+    if (started !== generation) return;
+    pending.delete(upstream.id);
+    if (outcome.isRight()) {
+      failures.delete(upstream.id);
+      const state = outcome.unsafeCoerce();
+      const { epoch } = options;
+      ready.set(upstream.id, { upstream, epoch, state, renewedAt: clock.now() });
+      return;
+    }
+    fail(upstream.id);
+    if ((outcome.extract() as Failure).kind === Kind.EpochStale) onStale(upstream.id);
+  };
+
+  return {
+    request(upstream, options) {
+      const { id } = upstream;
+      if (pending.has(id) || ready.get(id)?.epoch === options.epoch) return;
+      if (clock.now() < (failures.get(id)?.retryAt ?? -Infinity)) return;
+      pending.add(id);
+      send(upstream, options).catch(() => pending.delete(id));
+    },
+    ready: () => [...ready.values()],
+    remove: (worker) => {
+      ready.delete(worker);
+    },
+    failingSince: (worker) => failures.get(worker)?.since,
+    async renew(leaseMs) {
+      const due = [...ready.values()].filter(
+        ({ renewedAt }) => clock.now() - renewedAt >= renewEveryMs,
+      );
+      await Promise.all(
+        due.map(async (fenced) => {
+          const { upstream, epoch, state } = fenced;
+          const renewal = await workers.renew(upstream, { epoch, leaseMs });
+          if (ready.get(upstream.id) !== fenced) return;
+          renewal.ifRight(({ changed }) => {
+            const tasks = withChanges(state.tasks, changed);
+            ready.set(upstream.id, {
+              ...fenced,
+              state: { ...state, tasks },
+              renewedAt: clock.now(),
+            });
+          });
+        }),
+      );
+    },
+    reset() {
+      generation += 1;
+      pending.clear();
+      ready.clear();
+      failures.clear();
+    },
+  };
+}
--- /dev/null
+++ b/src/ownership/_writes.ts
@@ -0,0 +1,82 @@
+/**
+ * Writing claims and hand-overs.
+ */
+import type { Log } from '../logs/mod.ts';
+import type { Check } from '../schema/mod.ts';
+import type { Writer } from '../table/mod.ts';
+import type { KnownRows } from './_rows.ts';
+import type { ClaimRow, PlannedClaim, PlannedHandOver } from './plan.ts';
+
+/** Writes of one process. */
+export interface Writes {
+  claim(planned: PlannedClaim[]): Promise<void>;
+  handOver(planned: PlannedHandOver[]): Promise<void>;
+}
+
+// A write whose outcome is open may still take effect, so the row is not judged before it is known.
+const commitTimeoutMs = 24 * 3_600_000;
+
+/**
+ * Makes the writing side of ownership.
+ *
+ * @example
+ * const writes = makeWrites({ writer, rows, reread, moving, member, log });
+ */
+export function makeWrites({
+  writer,
+  rows,
+  reread,
+  moving,
+  member,
+  log,
+}: {
+  writer: Writer;
+  rows: KnownRows;
+  /** Rows to read again before they are used. */
+  reread: Set<string>;
+  /** Rows whose hand-over is being written. */
+  moving: Set<string>;
+  member: () => string;
+  log: Log;
+}): Writes {
+  const commit = async (
+    planned: { row: ClaimRow; next: ClaimRow['claim'] }[],
+    checks: Check[] = [],
+  ) => {
+    const me = member();
+    const outcome = await writer.commit(
+      {
+        checks: [...planned.map(({ row: { key, version } }) => ({ key, version })), ...checks],
+        writes: planned.map(({ row, next }) => ({ key: row.key, value: next })),
+      },
+      { timeoutMs: commitTimeoutMs },
+    );
+    if (me !== member()) return;
+    outcome.caseOf({
+      Left: () => planned.forEach(({ row }) => reread.add(row.key)),
+      Right: ({ versions }) =>
+        rows.noteCommit(
+          planned.map(({ row, next }) => ({ key: row.key, claim: next })),
+          versions,
+        ),
+    });
+  };
+
+  return {
+    async claim(planned) {
+      if (planned.length === 0) return;
+      const former = planned.map(({ formerOwner }) => formerOwner).filter(Boolean);
+      // Ids are never used again: an absent row proves that the former owner has gone for good.
+      const checks = [...new Set(former)].map((id) => ({ key: `members/${id}`, version: 0 }));
+      await commit(planned, checks);
+      log.debug('Claims were written.', { rows: planned.length });
+    },
+    async handOver(planned) {
+      if (planned.length === 0) return;
+      planned.forEach(({ row }) => moving.add(row.key));
+      await commit(planned);
+      planned.forEach(({ row }) => moving.delete(row.key));
+      log.debug('Hand-overs were written.', { rows: planned.length });
+    },
+  };
+}
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -15,7 +15,10 @@
 /** Called as ownership changes; `acquired` is called after the fence, before any start. */
 export interface OwnershipObserver {
   acquired(worker: OwnedWorker, state: WorkerState): void;
-  /** Starts must cease before this returns. */
+  /**
+   * Starts must cease before this returns. The tasks go on under another owner: their units are not
+   * given back here, since they move with the worker or belong to an id that is gone.
+   */
   released(worker: OwnedWorker): void;
   partitionAcquired(partition: number): void;
   partitionReleased(partition: number): void;
--- /dev/null
+++ b/src/ownership/plan_test.ts
@@ -0,0 +1,105 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type { Claim, Member } from '../schema/mod.ts';
+import {
+  hasUnsettled,
+  planClaims,
+  planHandOvers,
+  preferredForWorker,
+  rank,
+  unitsOf,
+} from './mod.ts';
+
+const member = (id: string, options: Partial<Member> = {}): Member => ({
+  id,
+  address: '127.0.0.1',
+  port: 1,
+  dataCentre: 'd1',
+  region: 'r1',
+  joined: 1,
+  seen: 1,
+  sequence: 1,
+  operation: 'o',
+  draining: false,
+  ...options,
+});
+const row = (key: string, claim: Claim) => ({ key, version: 5, claim });
+const plan = (claim: Claim, options: { fencing?: boolean; ownerGone?: boolean } = {}) =>
+  planClaims({
+    me: 'x',
+    members: [member('x'), member('y')],
+    rows: [row('workers/w1', claim)],
+    preferredFor: () => 'x',
+    fencing: () => options.fencing ?? true,
+    ownerGone: () => options.ownerGone ?? false,
+    limit: 10,
+  });
+
+test('a member that leaves must move only its own keys', () => {
+  const ids = ['a', 'b', 'c', 'd'];
+  const keys = Array.from({ length: 400 }, (_, n) => `workers/w${n}`);
+  const parts = new Map(ids.map((id) => [id, 0]));
+  keys.forEach((key) => {
+    const [first = '', second] = rank(key, ids);
+    parts.set(first, (parts.get(first) ?? 0) + 1);
+    assert.is(
+      rank(
+        key,
+        ids.filter((id) => id !== first),
+      )[0],
+      second,
+    );
+  });
+  parts.forEach((count) => assert.ok(count > 60 && count < 140, `a part has ${count} of 400`));
+});
+
+test('a worker without a member in its data centre stays in its region', () => {
+  const upstream = { id: 'w1', region: 'r2', dataCentre: 'd9' };
+  const members = [member('a'), member('b', { region: 'r2', dataCentre: 'd2' })];
+  assert.is(preferredForWorker(upstream, members), 'b');
+  assert.is(preferredForWorker(upstream, [member('a'), member('c', { draining: true })]), 'a');
+});
+
+test('a claim of a row whose owner is a member would take work from a live process', () => {
+  assert.is(plan({ epoch: 3, owner: 'y' }).length, 0);
+  const [planned] = plan({ epoch: 3, owner: 'd' });
+  assert.equal(planned?.next, { epoch: 4, owner: 'x', from: ['d'] });
+  assert.is(planned?.formerOwner, 'd');
+});
+
+test('a claim must keep the source of units that the last claimant never settled', () => {
+  assert.equal(plan({ epoch: 4, owner: 'z', from: ['d'] })[0]?.next.from, ['d']);
+  assert.equal(plan({ epoch: 4, owner: '', from: ['d'] })[0]?.next.from, ['d']);
+  assert.is(plan({ epoch: 0, owner: '' })[0]?.next.from, undefined);
+});
+
+test('a worker without fencing must wait for its former owner', () => {
+  assert.is(plan({ epoch: 3, owner: 'd' }, { fencing: false }).length, 0);
+  assert.is(plan({ epoch: 3, owner: 'd' }, { fencing: false, ownerGone: true }).length, 1);
+  assert.is(plan({ epoch: 3, owner: '', from: ['d'] }, { fencing: false }).length, 1);
+});
+
+test('an unsettled worker must not be handed over', () => {
+  const hand = (claim: Claim) =>
+    planHandOvers({ me: 'x', rows: [row('workers/w', claim)], preferredFor: () => 'y', limit: 1 });
+  assert.is(hand({ epoch: 2, owner: 'x', from: ['d'] }).length, 0);
+  assert.equal(hand({ epoch: 2, owner: 'x' })[0]?.next, { epoch: 3, owner: 'y', from: ['x'] });
+});
+
+test('units of a member stay held while a row still mentions it', () => {
+  assert.ok(hasUnsettled('d', [row('workers/w', { epoch: 1, owner: 'd' })]));
+  assert.ok(hasUnsettled('d', [row('workers/w', { epoch: 2, owner: 'x', from: ['d'] })]));
+  assert.not(hasUnsettled('x', [row('workers/w', { epoch: 2, owner: 'x', from: ['d'] })]));
+});
+
+test('ended tasks that are not acknowledged use no units', () => {
+  const tasks = [
+    { team: 'mill', state: 'running' as const },
+    { team: 'mill', state: 'finished' as const },
+    { team: 'mill', state: 'checkpointing' as const },
+  ];
+  assert.equal(unitsOf(tasks), { mill: 2 });
+});
+
+test.run();
--- a/src/schema/_generated/types.ts
+++ b/src/schema/_generated/types.ts
@@ -383,6 +383,7 @@
   id: string;
   by: string;
   full: boolean;
+  address?: string;
 }
 /**
  * Rows `workers/{id}` and `partitions/{n}`: who owns it, and from whom it is being taken over.
