Adopt units when a worker is settled

The pool relies on the units of a worker's tasks having moved with the worker, so ownership adopts them in the turn in which it reports the worker as acquired. `reallot` is the form of `changeLimit` that a commit of settings uses.

--- a/src/limits/allotments.ts
+++ b/src/limits/allotments.ts
@@ -113,6 +113,16 @@
   return withHeld({ limit, held: {} }, held);
 }
 
+/**
+ * The same for a row that may not exist yet; it is written then, too.
+ *
+ * @example
+ * reallot(undefined, 5); // { limit: 5, held: {} }
+ */
+export function reallot(current: Allotment | undefined, limit: number): Allotment {
+  return changeLimit(current ?? { limit, held: {} }, limit);
+}
+
 /**
  * The allotment rows that a settings change has to write: one for each team whose limit it changes,
  * also where the row does not exist yet, since a process with older settings could otherwise create
@@ -135,9 +145,6 @@
   return Object.fromEntries(
     teams
       .filter((team) => before[team] !== after[team])
-      .map((team) => {
-        const row = rows[team] ?? { limit: before[team] ?? 0, held: {} };
-        return [team, changeLimit(row, after[team] ?? 0)];
-      }),
+      .map((team) => [team, reallot(rows[team], after[team] ?? 0)]),
   );
 }
--- a/src/ownership/options.ts
+++ b/src/ownership/options.ts
@@ -25,7 +25,7 @@
   workers: Workers;
   limits: Pick<
     LimitsTask,
-    'move' | 'refresh' | 'park' | 'unpark' | 'forget' | 'reset' | 'returnAll'
+    'adopt' | 'move' | 'refresh' | 'park' | 'unpark' | 'forget' | 'reset' | 'returnAll'
   >;
   membership: Membership;
   settings: Settings;
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -12,7 +12,10 @@
   epoch: number;
 }
 
-/** Called as ownership changes; `acquired` is called after the fence, before any start. */
+/**
+ * Called as ownership changes; `acquired` is called after the fence and the settlement, before any
+ * start. The units of the running tasks have been adopted by then.
+ */
 export interface OwnershipObserver {
   acquired(worker: OwnedWorker, state: WorkerState): void;
   /**
--- a/src/ownership/task.ts
+++ b/src/ownership/task.ts
@@ -15,7 +15,7 @@
 import { makeWrites } from './_writes.ts';
 import type { OwnershipOptions, OwnershipTask } from './options.ts';
 import type { OwnedWorker, OwnershipObserver } from './ownership.ts';
-import { ownershipRules, planClaims, planHandOvers, workerKey } from './plan.ts';
+import { ownershipRules, planClaims, planHandOvers, unitsOf, workerKey } from './plan.ts';
 import type { ClaimRow, PlannedHandOver } from './plan.ts';
 
 const tickMs = 250;
@@ -70,6 +70,7 @@
       parked.delete(worker.upstream.id);
       limits.unpark(worker.upstream.id);
       owned.set(worker.upstream.id, worker);
+      Object.entries(unitsOf(state.tasks)).forEach(([team, count]) => limits.adopt(team, count));
       observers.forEach((observer) => observer.acquired(worker, state));
     },
   });
