--- a/src/decisions/mod.ts
+++ b/src/decisions/mod.ts
@@ -3,3 +3,20 @@
  */
 export * from './placement.ts';
 export * from './waiting.ts';
+export { makeWaitingWork } from './_waiting_work.ts';
+export type { WaitingOptions } from './_waiting_work.ts';
+export { makePlacementIndex, defaultLookupSize } from './_placement_index.ts';
+export type { PlacementOptions } from './_placement_index.ts';
+export * from './headroom.ts';
+export * from './lookup_route.ts';
+export * from './retries.ts';
+export * from './worker_health.ts';
+export * from './estimates.ts';
+export * from './outgrowth.ts';
+export * from './reservation.ts';
+export * from './gangs.ts';
+export * from './services.ts';
+export * from './shares.ts';
+export * from './share_digest.ts';
+export * from './evacuation.ts';
+export * from './isolation.ts';
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -12,10 +12,16 @@
   epoch: number;
 }
 
-/** Called as ownership changes; `acquired` is called after the fence, before any start. */
+/**
+ * Called as ownership changes; `acquired` is called after the fence and the settlement, before any
+ * start. The units of the running tasks have been adopted by then.
+ */
 export interface OwnershipObserver {
   acquired(worker: OwnedWorker, state: WorkerState): void;
-  /** Starts must cease before this returns. */
+  /**
+   * Starts must cease before this returns. The tasks go on under another owner: their units are not
+   * given back here, since they move with the worker or belong to an id that is gone.
+   */
   released(worker: OwnedWorker): void;
   partitionAcquired(partition: number): void;
   partitionReleased(partition: number): void;
