Detect repeated caller request ids with witnesses

Cause: a lookup that a caller repeats through another process must not run twice, also while members come and go. Measured: 5 tests pass, among them 40 random runs with members that join and leave one at a time; no id was claimed twice.

--- a/src/dispatch/lookups.ts
+++ b/src/dispatch/lookups.ts
@@ -90,7 +90,11 @@
 ): Promise<Either<Failure, LookupAnswer> | undefined> {
   const claimed = await requests.claim(claim);
   return claimed.caseOf<Either<Failure, LookupAnswer> | undefined>({
-    Left: (failed) => (idempotent ? undefined : Left(failed)),
+    Left(failed) {
+      if (idempotent) return undefined;
+      requests.withdraw(claim);
+      return Left(failed);
+    },
     Right(result) {
       if (result.verdict === 'first') return undefined;
       if (result.answer) return Right(result.answer);
--- /dev/null
+++ b/src/requests/requests_test.ts
@@ -0,0 +1,180 @@
+import * as fc from 'fast-check';
+import { Right } from 'purify-ts';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { makeRandom, makeVirtualClock, pickIndex } from '../clock/mod.ts';
+import { Kind, refuse } from '../errors/mod.ts';
+import type { View } from '../membership/mod.ts';
+import type { Peer } from '../peers/mod.ts';
+import type { LookupAnswer } from '../schema/mod.ts';
+import { fakeMember } from '../testing/fake_process.ts';
+import { decideClaim, makeRequests, witnessSets } from './mod.ts';
+import type { Requests } from './mod.ts';
+
+const answer: LookupAnswer = { id: 'l', worker: 'w', waitMs: 1, runMs: 1, body: 'kept' };
+
+function setUp(ids: string[], { random = makeRandom(1) } = {}) {
+  const clock = makeVirtualClock();
+  const live = new Map<string, Requests>();
+  const views = new Map<string, { view: View; at: number }[]>();
+  let current: View = { version: 1, members: ids.map(fakeMember) };
+  const peers = ({ id }: { id: string }) =>
+    ({
+      async witness(question: never) {
+        await clock.sleep(random() * 20);
+        const found = live.get(id)?.witness(question) ?? refuse(Kind.PeerUnavailable, 'away');
+        await clock.sleep(random() * 20);
+        return found;
+      },
+    }) as unknown as Peer;
+  const join = (id: string) => {
+    views.set(id, [{ view: current, at: clock.now() }]);
+    const known = () => views.get(id) ?? [];
+    live.set(
+      id,
+      makeRequests({
+        ...{ clock, peers },
+        membership: {
+          id: () => id,
+          view: () => known()[0]?.view ?? current,
+          recentViews: () =>
+            known()
+              .slice(1)
+              .map(({ view }, i) => ({ view, replacedAgoMs: clock.now() - (known()[i]?.at ?? 0) })),
+          subscribe: () => undefined,
+        },
+      }),
+    );
+  };
+  ids.forEach(join);
+  /** Changes the members; each process hears of it a little later. */
+  const change = (members: string[]) => {
+    const joined = current.version + 1;
+    const kept = new Map(current.members.map((member) => [member.id, member]));
+    current = {
+      version: joined,
+      members: members.map((id) => kept.get(id) ?? { ...fakeMember(id), joined }),
+    };
+    const next = current;
+    [...live.keys()].filter((id) => !members.includes(id)).forEach((id) => live.delete(id));
+    const tell = async (id: string) => {
+      await clock.sleep(random() * 800);
+      views.set(id, [{ view: next, at: clock.now() }, ...(views.get(id) ?? [])]);
+    };
+    live.forEach((_requests, id) => tell(id).catch(() => undefined));
+    members.filter((id) => !live.has(id)).forEach(join);
+  };
+  return { clock, live, change };
+}
+
+const without = (ids: string[], leaver?: string) => ids.filter((id) => id !== leaver);
+
+test('a request id that two processes claim at once must run once at most', async () => {
+  const { clock, live } = setUp(['m1', 'm2', 'm3', 'm4', 'm5']);
+  await clock.advance(61_000);
+  const claims = [...live].map(([id, requests]) =>
+    requests.claim({ team: 'a', request: 'r', claimant: `l@${id}` }),
+  );
+  await clock.advance(1_000);
+  const all = await Promise.all(claims);
+  const firsts = all.filter((one) => one.isRight() && one.unsafeCoerce().verdict === 'first');
+  assert.ok(firsts.length <= 1);
+});
+
+test('a repeat must get the kept answer, and a withdrawn claim must not block a new run', async () => {
+  const { clock, live } = setUp(['m1', 'm2', 'm3', 'm4']);
+  await clock.advance(61_000);
+  const run = async (id: string, claimant: string) => {
+    const outcome = live.get(id)?.claim({ team: 'a', request: 'r', claimant });
+    await clock.advance(1_000);
+    return (await outcome)?.unsafeCoerce();
+  };
+  const claim = { team: 'a', request: 'r', claimant: 'l1@m1' };
+  assert.equal(await run('m1', 'l1@m1'), { verdict: 'first' });
+  assert.equal(await run('m2', 'l2@m2'), { verdict: 'repeat' });
+  live.get('m1')?.finished(claim, answer);
+  assert.equal(await run('m3', 'l3@m3'), { verdict: 'repeat', answer });
+  live.get('m1')?.withdraw(claim);
+  await clock.advance(1_000);
+  assert.equal(await run('m4', 'l4@m4'), { verdict: 'first' });
+});
+
+test('without a quorum a claim must fail instead of running', async () => {
+  const { clock, live } = setUp(['m1', 'm2', 'm3']);
+  await clock.advance(61_000);
+  live.delete('m2');
+  const only = live.get('m1');
+  live.delete('m3');
+  const outcome = only?.claim({ team: 'a', request: 'r', claimant: 'l@m1' });
+  await clock.advance(1_000);
+  assert.is((await outcome)?.swap().unsafeCoerce().kind, Kind.WitnessUnavailable);
+  assert.is(
+    decideClaim(
+      [['a', 'b', 'c']],
+      new Map([
+        ['a', 'first'],
+        ['b', undefined],
+      ]),
+    ),
+    undefined,
+  );
+  const view = { version: 1, members: [fakeMember('m1')] };
+  assert.equal(witnessSets('k', { view, recent: [], joinedAgoMs: 0 }), [['m1']]);
+});
+
+test('a full memory that drops young claims would let a request run twice', async () => {
+  const clock = makeVirtualClock();
+  const view = { version: 1, members: [fakeMember('m1')] };
+  const requests = makeRequests({
+    ...{ clock, capacity: 2, peers: () => ({}) as Peer },
+    membership: {
+      id: () => 'm1',
+      view: () => view,
+      recentViews: () => [],
+      subscribe: () => undefined,
+    },
+  });
+  const claim = async (request: string) =>
+    requests.claim({ team: 'a', request, claimant: `${request}@m1` });
+  assert.ok((await claim('r1')).isRight());
+  assert.ok((await claim('r2')).isRight());
+  assert.ok((await claim('r3')).isLeft());
+  await clock.advance(60_001);
+  assert.equal(await claim('r3'), Right({ verdict: 'first' }));
+});
+
+test('under changes of one member at a time no request id may be claimed twice', async () => {
+  await fc.assert(
+    fc.asyncProperty(fc.integer(), async (seed) => {
+      const random = makeRandom(seed);
+      let ids = ['m1', 'm2', 'm3', 'm4', 'm5', 'm6'];
+      const { clock, live, change } = setUp(ids, { random });
+      const firsts = new Map<string, number>();
+      const all: Promise<void>[] = [];
+      for (let i = 0; i < 60; i++) {
+        const known = [...live];
+        const [id, requests] = known[pickIndex(random, known.length)] ?? [];
+        const request = `r${pickIndex(random, 8)}`;
+        const claimant = `l${i}@${id ?? ''}`;
+        const count = (outcome: Awaited<ReturnType<Requests['claim']>>) => {
+          const first = outcome.isRight() && outcome.unsafeCoerce().verdict === 'first';
+          if (first) firsts.set(request, (firsts.get(request) ?? 0) + 1);
+        };
+        if (requests) all.push(requests.claim({ team: 'a', request, claimant }).then(count));
+        if (i % 20 === 10) {
+          const leaver = ids[pickIndex(random, ids.length)];
+          ids = random() < 0.5 ? ids.concat(`n${i}`) : without(ids, leaver);
+          change(ids);
+        }
+        await clock.advance(random() * 900);
+      }
+      await clock.advance(5_000);
+      await Promise.all(all);
+      firsts.forEach((count, request) => assert.ok(count <= 1, `${request} ran ${count} times`));
+    }),
+    { numRuns: 40, includeErrorInReport: true },
+  );
+});
+
+test.run();
