Add worker client and stand-ins behind real sockets

Entry processes need the worker protocol, and tests need workers and services whose faults can be switched while they run.

The worker client accepts an answer only with a length or a final marker, and only for its own task and attempt; control messages and starts have connections of their own and are counted apart. The stand-ins are a table service, object store, host list and worker. The table in memory moves to src/table, where it serves as the state of the table stand-in and as a Table on a virtual clock.

--- /dev/null
+++ b/src/standins/_server.ts
@@ -0,0 +1,171 @@
+/**
+ * An HTTP server whose faults are switched over `POST /_control`.
+ */
+import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
+import type { Clock } from '../clock/mod.ts';
+
+/** Faults that every stand-in has. */
+export interface Faults {
+  /** Time before a request takes effect. */
+  slowMs: number;
+  /** Requests are answered with 500 and take no effect. */
+  fail: boolean;
+  /** So many requests take effect but lose their answer. */
+  lose: number;
+}
+
+/** A request as the stand-ins handle it. */
+export interface Call {
+  method: string;
+  path: string;
+  body: Buffer;
+  /** The body as JSON; an empty object when there is none. */
+  json: Record<string, unknown>;
+}
+
+/** What a handler answers; `send` takes the place of `value` for answers of another form. */
+export interface Reply {
+  status: number;
+  value?: unknown;
+  bytes?: Buffer;
+  send?: (response: ServerResponse) => void;
+}
+
+/** A running stand-in. */
+export interface Standin {
+  address: string;
+  port: number;
+  faults: Faults;
+  /** Closes the listening socket and all connections, or listens again. */
+  refuse(on: boolean): Promise<void>;
+  /** Breaks all connections. */
+  disconnect(): void;
+  close(): Promise<void>;
+}
+
+/** Where a stand-in listens; port 0 takes a free one. */
+export interface StandinOptions {
+  clock: Clock;
+  address?: string;
+  port?: number;
+}
+
+async function readBody(request: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks);
+}
+
+function parseObject(body: Buffer): Record<string, unknown> | undefined {
+  try {
+    const value: unknown = body.length > 0 ? JSON.parse(body.toString('utf8')) : {};
+    return value !== null && typeof value === 'object' ? { ...value } : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function sendReply(response: ServerResponse, { status, value, bytes, send }: Reply): void {
+  if (send) {
+    send(response);
+    return;
+  }
+  const body = bytes ?? Buffer.from(value === undefined ? '' : JSON.stringify(value));
+  const type = bytes ? 'application/octet-stream' : 'application/json';
+  response.writeHead(status, { 'content-type': type, 'content-length': body.length });
+  response.end(body);
+}
+
+/**
+ * Starts a server. `control` receives the fields of a `POST /_control`; fields of {@link Faults} are
+ * already applied, and `refuseMs` closes the listening socket for that time.
+ */
+export async function startServer(
+  options: StandinOptions & {
+    handle: (call: Call) => Reply | Promise<Reply>;
+    control?: (fields: Record<string, unknown>) => void;
+  },
+): Promise<Standin> {
+  const { clock, address = '127.0.0.1', handle, control = () => undefined } = options;
+  const faults: Faults = { slowMs: 0, fail: false, lose: 0 };
+  const sockets = new Set<Socket>();
+  let { port = 0 } = options;
+
+  const answer = async (request: IncomingMessage, response: ServerResponse) => {
+    const body = await readBody(request);
+    const { method = 'GET', url: path = '/' } = request;
+    const json = parseObject(body) ?? {};
+    if (path === '/_control') {
+      Object.assign(faults, json);
+      sendReply(response, { status: 200, value: faults });
+      // After the answer is written, because a crash closes all connections.
+      setImmediate(() => applyControl(json));
+      return;
+    }
+    if (path.startsWith('/_')) {
+      sendReply(response, await handle({ method, path, body, json }));
+      return;
+    }
+    // A request that takes effect late does so even when its client has gone.
+    if (faults.slowMs > 0) await clock.sleep(faults.slowMs);
+    if (faults.fail) {
+      sendReply(response, { status: 500, value: { message: 'switched to fail' } });
+      return;
+    }
+    const reply = await handle({ method, path, body, json });
+    if (faults.lose > 0) {
+      faults.lose -= 1;
+      response.destroy();
+    } else {
+      sendReply(response, reply);
+    }
+  };
+
+  const server = createServer({ keepAliveTimeout: 120_000 }, (request, response) => {
+    answer(request, response).catch(() => response.destroy());
+  });
+  server.on('connection', (socket) => {
+    socket.setNoDelay(true);
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
+  const listen = () =>
+    new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, address, () => {
+        server.off('error', reject);
+        port = (server.address() as AddressInfo).port;
+        resolve();
+      });
+    });
+  const disconnect = () => sockets.forEach((socket) => socket.destroy());
+  const stop = () =>
+    new Promise<void>((resolve) => {
+      server.close(() => resolve());
+      disconnect();
+    });
+  const refuse = async (on: boolean) => {
+    if (on === server.listening) await (on ? stop() : listen());
+  };
+  const refuseFor = async (ms: number) => {
+    await refuse(true);
+    await clock.sleep(ms);
+    await refuse(false);
+  };
+  function applyControl(fields: Record<string, unknown>): void {
+    control(fields);
+    if (typeof fields.refuseMs === 'number') refuseFor(fields.refuseMs).catch(() => undefined);
+  }
+  await listen();
+  return {
+    address,
+    port,
+    faults,
+    refuse,
+    disconnect,
+    close: () => refuse(true),
+  };
+}
--- a/src/standins/mod.ts
+++ b/src/standins/mod.ts
@@ -1,4 +1,7 @@
 /**
  * Stand-ins for the platform's services and for workers, for tests and benchmarks.
  */
-export * from './memory_table.ts';
+export * from './services.ts';
+export * from './worker.ts';
+export type { Faults, Standin, StandinOptions } from './_server.ts';
+export type { StartRecord, WorkerFaults } from './_worker_state.ts';
--- /dev/null
+++ b/src/standins/worker_state_test.ts
@@ -0,0 +1,67 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { makeVirtualClock } from '../clock/mod.ts';
+import type { RenewAnswer, StartRequest } from '../schema/mod.ts';
+import { WorkerModel } from './_worker_state.ts';
+
+const size = { processors: 1, memoryMb: 1, accelerators: 0, slots: 1 };
+
+function setUp() {
+  const clock = makeVirtualClock();
+  const model = new WorkerModel({
+    clock,
+    id: 'w1',
+    capacity: { ...size, processors: 2, slots: 1 },
+  });
+  const job = (task: string, extra: Partial<StartRequest> = {}): StartRequest => ({
+    ...{ task, attempt: 1, epoch: 1, notAfterMs: Infinity, team: 't', job: task, kind: 'batch' },
+    ...{ size, idempotent: true, leaseMs: 1_000, body: { runMs: 100_000 } },
+    ...extra,
+  });
+  const state = () => model.list().tasks.map((task) => `${task.task} ${task.state}`);
+  return { clock, model, job, state };
+}
+
+test('a task whose lease was not renewed would run on next to its replacement', async () => {
+  const { clock, model, job, state } = setUp();
+  assert.ok(model.start(job('a')) instanceof Promise);
+  await clock.advance(900);
+  await model.renew({ epoch: 1, leaseMs: 1_000 });
+  await clock.advance(900);
+  assert.equal(state(), ['a running']);
+  await clock.advance(101);
+  assert.equal(state(), ['a stopped']);
+});
+
+test('a full worker that accepts a start would be overloaded', () => {
+  const { model, job } = setUp();
+  assert.ok(model.start(job('a')) instanceof Promise);
+  assert.ok('refusal' in model.start(job('b')));
+});
+
+test('an ended task forgotten before its owner recorded it would be run again', async () => {
+  const { clock, model, job } = setUp();
+  assert.ok(model.start(job('a', { body: { runMs: 50, answer: 7 } })) instanceof Promise);
+  const held = model.renew({ epoch: 1, leaseMs: 1_000, waitMs: 10_000 });
+  await clock.advance(60);
+  const { changed } = (await held) as RenewAnswer;
+  assert.equal(
+    changed.map(({ task, state, result }) => [task, state, result]),
+    [['a', 'finished', { runMs: 50, answer: 7, worker: 'w1', task: 'a' }]],
+  );
+  const again = (await model.renew({ epoch: 1, leaseMs: 1_000 })) as RenewAnswer;
+  assert.is(again.changed.length, 1);
+  const done = await model.renew({ epoch: 1, leaseMs: 1_000, acknowledged: ['a'] });
+  assert.is((done as RenewAnswer).changed.length, 0);
+});
+
+test('a renewal of a former owner that is held open would keep its tasks alive', async () => {
+  const { clock, model } = setUp();
+  const held = model.renew({ epoch: 0, leaseMs: 1_000, waitMs: 10_000 });
+  model.fence(2);
+  await clock.advance(1);
+  assert.ok('refusal' in (await held));
+});
+
+test.run();
--- a/src/standins/memory_table.ts
+++ b/src/table/memory.ts
@@ -9,7 +9,7 @@
 import { Kind, refuse } from '../errors/mod.ts';
 import type { Failure } from '../errors/mod.ts';
 import type { Commit, Row, Transaction } from '../schema/mod.ts';
-import type { Table } from '../table/mod.ts';
+import type { Table } from './table.ts';
 
 /** Rows with versions. A version is never used twice, not even for a row that was deleted. */
 export interface TableState {
--- a/src/table/writer_test.ts
+++ b/src/table/writer_test.ts
@@ -4,8 +4,7 @@
 import { makeRandom, makeVirtualClock } from '../clock/mod.ts';
 import { Kind } from '../errors/mod.ts';
 import type { Failure } from '../errors/mod.ts';
-import { makeMemoryTable } from '../standins/mod.ts';
-import { makeWriter } from './mod.ts';
+import { makeMemoryTable, makeWriter } from './mod.ts';
 
 const memberKey = 'members/m1';
 
--- /dev/null
+++ b/src/workers/_answer.ts
@@ -0,0 +1,43 @@
+/**
+ * Decides whether an answer of a worker is whole.
+ *
+ * An answer either has a `content-length` that it fills, or is streamed (`x-answer: streamed`) and
+ * ends with a line `{"end":N}`, where N is the number of bytes before that line. An answer with
+ * neither could have been cut without a trace.
+ */
+import { Left, Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import type { ExchangeAnswer } from '../exchange/mod.ts';
+
+const newline = 0x0a;
+
+function parse(bytes: Buffer): Either<string, unknown> {
+  try {
+    return Right(JSON.parse(bytes.toString('utf8')) as unknown);
+  } catch {
+    return Left('the answer is not JSON');
+  }
+}
+
+function cutMarker(body: Buffer): Either<string, Buffer> {
+  const at = body.lastIndexOf(newline);
+  const marker = parse(body.subarray(at + 1)).orDefault(undefined);
+  const { end } = (marker ?? {}) as { end?: unknown };
+  if (at < 0 || end !== at) return Left(`the streamed answer was cut after ${body.length} bytes`);
+  return Right(body.subarray(0, at));
+}
+
+/**
+ * Returns the JSON value of a whole answer, or why it is not whole.
+ *
+ * @example
+ * readWhole(answer).map((value) => decode(validators.validateStartAnswer, value));
+ */
+export function readWhole({ headers, body }: ExchangeAnswer): Either<string, unknown> {
+  if (headers['x-answer'] === 'streamed') return cutMarker(body).chain(parse);
+  const length = headers['content-length'];
+  if (length === undefined) return Left('the answer has neither a length nor a final marker');
+  if (Number(length) !== body.length) return Left(`got ${body.length} of ${String(length)} bytes`);
+  return parse(body);
+}
--- /dev/null
+++ b/src/workers/http_test.ts
@@ -0,0 +1,104 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { systemClock } from '../clock/mod.ts';
+import { Kind } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
+import { Invariant, makeInvariants } from '../invariants/mod.ts';
+import type { StartRequest } from '../schema/mod.ts';
+import { startWorker } from '../standins/mod.ts';
+import { workerDialects } from './mod.ts';
+
+const clock = systemClock;
+const size = { processors: 1, memoryMb: 1, accelerators: 0, slots: 1 };
+
+async function setUp({ connections = 8 } = {}) {
+  const standin = await startWorker({ clock, id: 'w1' });
+  const violations: string[] = [];
+  const invariants = makeInvariants({ onViolation: (name) => violations.push(name) });
+  const workers = workerDialects['http-json']({ clock, invariants, timeoutMs: 500 });
+  const upstream = {
+    ...{ id: 'w1', address: standin.address, port: standin.port, dataCentre: 'd1', region: 'r1' },
+    ...{ rack: 'k1', capacity: size, connections, leaving: false, fencing: true },
+  };
+  const { clockMs } = (await workers.fence(upstream, { owner: 'm1', epoch: 1 })).unsafeCoerce();
+  const lookup = (task: string, body: unknown = { runMs: 1 }): StartRequest => ({
+    ...{ task, attempt: 1, epoch: 1, notAfterMs: clockMs + 5_000, team: 't', job: task },
+    ...{ kind: 'lookup', size, idempotent: false, leaseMs: 30_000, body },
+  });
+  const close = async () => {
+    await workers.close();
+    await standin.close();
+  };
+  return { standin, workers, upstream, lookup, violations, close };
+}
+
+function kindOf(outcome: { extract(): unknown }): string {
+  return (outcome.extract() as Failure).kind;
+}
+
+test('an answer that was cut or mixed up would be passed on as whole', async () => {
+  const { standin, workers, upstream, lookup, violations, close } = await setUp();
+  const long = { runMs: 1, answer: 'x'.repeat(50_000) };
+  standin.control({ stream: true });
+  const whole = await workers.start(upstream, lookup('a', long));
+  assert.equal(whole.map(({ body }) => body).extract(), { ...long, worker: 'w1', task: 'a' });
+  standin.control({ cut: true });
+  assert.is(kindOf(await workers.start(upstream, lookup('b', long))), Kind.OutcomeUnknown);
+  standin.control({ stream: false, cut: false, mixUp: true });
+  assert.is(kindOf(await workers.start(upstream, lookup('c'))), Kind.OutcomeUnknown);
+  assert.equal(violations, [Invariant.WholeAnswer]);
+  await close();
+});
+
+test('a start that may have run would be reported as not run', async () => {
+  const { standin, workers, upstream, lookup, close } = await setUp();
+  standin.faults.lose = 1;
+  assert.is(kindOf(await workers.start(upstream, lookup('a'))), Kind.OutcomeUnknown);
+  const slow = workers.start(upstream, lookup('b', { runMs: 400 }), { timeoutMs: 50 });
+  assert.is(kindOf(await slow), Kind.OutcomeUnknown);
+  await standin.refuse(true);
+  assert.is(kindOf(await workers.start(upstream, lookup('c'))), Kind.WorkerUnreachable);
+  assert.equal(
+    standin.starts.map(({ task }) => task),
+    ['a', 'b'],
+  );
+  await close();
+});
+
+test('a refused start would be reported as unknown and never be retried', async () => {
+  const { standin, workers, upstream, lookup, close } = await setUp();
+  await workers.start(upstream, lookup('a'));
+  assert.is(kindOf(await workers.start(upstream, lookup('a'))), Kind.WorkerRefused);
+  const late = { ...lookup('b'), notAfterMs: 1 };
+  assert.is(kindOf(await workers.start(upstream, late)), Kind.WorkerRefused);
+  await workers.fence(upstream, { owner: 'm2', epoch: 2 });
+  assert.is(kindOf(await workers.start(upstream, lookup('c'))), Kind.EpochStale);
+  assert.is(standin.starts.length, 1);
+  await close();
+});
+
+test('a start that waits for a connection would be sent after its caller gave up', async () => {
+  const { standin, workers, upstream, lookup, close } = await setUp({ connections: 1 });
+  const first = workers.start(upstream, lookup('a', { runMs: 200 }));
+  const second = workers.start(upstream, lookup('b'), { timeoutMs: 30 });
+  assert.is(kindOf(await second), Kind.WorkerUnreachable);
+  assert.ok((await first).isRight());
+  assert.ok((await workers.start(upstream, lookup('c'))).isRight());
+  assert.equal(
+    standin.starts.map(({ task }) => task),
+    ['a', 'c'],
+  );
+  await close();
+});
+
+test('control traffic that includes work could not be held against its budget', async () => {
+  const { workers, upstream, lookup, close } = await setUp();
+  await workers.start(upstream, lookup('a', { runMs: 1, answer: 'x'.repeat(10_000) }));
+  const { control, work } = workers.traffic('w1');
+  assert.ok(work.bytesIn > 10_000);
+  assert.ok(control.bytesIn > 100 && control.bytesIn < 1_000, String(control.bytesIn));
+  await close();
+});
+
+test.run();
--- a/src/workers/mod.ts
+++ b/src/workers/mod.ts
@@ -2,3 +2,5 @@
  * The worker protocol.
  */
 export * from './workers.ts';
+export * from './dialects.ts';
+export type { WorkersClient, WorkersOptions } from './_http.ts';
