--- a/src/errors/answer.ts
+++ b/src/errors/answer.ts
@@ -71,6 +71,7 @@
   [Kind.TableUnavailable]: refused(503, retryLaterMs),
   [Kind.TableUnknown]: { status: 504, ran: Ran.Unknown },
   [Kind.ObjectUnavailable]: { status: 503, ran: Ran.Yes, retryAfterMs: retryLaterMs },
+  [Kind.HostsUnavailable]: refused(503, retryLaterMs),
   [Kind.OutcomeUnknown]: { status: 504, ran: Ran.Unknown },
   [Kind.RequestRepeated]: { status: 409, ran: Ran.Unknown },
   [Kind.TaskFailed]: { status: 502, ran: Ran.Yes },
--- a/src/errors/failure.ts
+++ b/src/errors/failure.ts
@@ -44,6 +44,7 @@
   TableUnavailable: 'table-unavailable',
   TableUnknown: 'table-unknown',
   ObjectUnavailable: 'object-unavailable',
+  HostsUnavailable: 'hosts-unavailable',
   // Work that may have run, or did run.
   OutcomeUnknown: 'outcome-unknown',
   RequestRepeated: 'request-repeated',
--- /dev/null
+++ b/src/hosts/_http.ts
@@ -0,0 +1,60 @@
+/**
+ * The dialect `http-json`: `GET /hosts`.
+ */
+import { Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import type { Clock } from '../clock/mod.ts';
+import { Kind, failure, refuse } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
+import { makeConnections } from '../exchange/mod.ts';
+import type { ExchangeAnswer } from '../exchange/mod.ts';
+import type { Host, Hosts } from './hosts.ts';
+
+/** A host list client that owns connections. */
+export interface HostsClient extends Hosts {
+  close(): Promise<void>;
+}
+
+const defaultTimeoutMs = 2_000;
+
+function isHost(value: unknown): value is Host {
+  const { address, state } = (value ?? {}) as Partial<Host>;
+  return typeof address === 'string' && (state === 'live' || state === 'leaving');
+}
+
+function decodeHosts({ status, body }: ExchangeAnswer): Either<Failure, Host[]> {
+  let hosts: unknown;
+  try {
+    hosts = (JSON.parse(body.toString('utf8')) as { hosts?: unknown } | null)?.hosts;
+  } catch {
+    // Handled below, together with answers of another form.
+  }
+  if (status === 200 && Array.isArray(hosts) && hosts.every(isHost)) return Right(hosts);
+  return refuse(Kind.HostsUnavailable, 'the host list gave no hosts', { got: status });
+}
+
+/**
+ * Makes a client of the dialect `http-json`.
+ *
+ * @example
+ * const hosts = makeHttpHosts({ address: '127.0.0.1', port: 7002, clock: systemClock });
+ */
+export function makeHttpHosts(options: {
+  address: string;
+  port: number;
+  clock: Clock;
+  timeoutMs?: number;
+}): HostsClient {
+  const { address, port, clock, timeoutMs = defaultTimeoutMs } = options;
+  const link = makeConnections({ address, port, clock, connections: 1 });
+  return {
+    async list() {
+      const answer = await link.exchange({ method: 'GET', path: '/hosts', timeoutMs });
+      return answer
+        .mapLeft(({ message }) => failure(Kind.HostsUnavailable, `/hosts: ${message}`))
+        .chain(decodeHosts);
+    },
+    close: link.close,
+  };
+}
--- /dev/null
+++ b/src/objects/_http.ts
@@ -0,0 +1,66 @@
+/**
+ * The dialect `http`: `PUT`, `GET` and `DELETE` of `/objects/{name}`.
+ */
+import { Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import type { Clock } from '../clock/mod.ts';
+import { Kind, failure, refuse } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
+import { makeConnections } from '../exchange/mod.ts';
+import type { ExchangeAnswer, ExchangeRequest } from '../exchange/mod.ts';
+import type { Objects } from './objects.ts';
+
+/** An object store client that owns connections. */
+export interface ObjectsClient extends Objects {
+  close(): Promise<void>;
+}
+
+// Large results take longer than a message of the other services.
+const defaultTimeoutMs = 5_000;
+
+/**
+ * Makes a client of the dialect `http`; every failure is `object-unavailable`.
+ *
+ * @example
+ * const objects = makeHttpObjects({ address: '127.0.0.1', port: 7001, clock: systemClock });
+ */
+export function makeHttpObjects(options: {
+  address: string;
+  port: number;
+  clock: Clock;
+  timeoutMs?: number;
+}): ObjectsClient {
+  const { address, port, clock, timeoutMs = defaultTimeoutMs } = options;
+  const link = makeConnections({ address, port, clock });
+  async function exchange<T>(
+    name: string,
+    request: Pick<ExchangeRequest, 'method' | 'body' | 'headers'>,
+    read: (answer: ExchangeAnswer) => Either<Failure, T> | undefined,
+  ): Outcome<T> {
+    const path = `/objects/${encodeURIComponent(name)}`;
+    const answer = await link.exchange({ ...request, path, timeoutMs });
+    return answer
+      .mapLeft(({ message }) => failure(Kind.ObjectUnavailable, `${path}: ${message}`))
+      .chain((whole) => {
+        const { status } = whole;
+        return read(whole) ?? refuse(Kind.ObjectUnavailable, `${path} failed`, { got: status });
+      });
+  }
+  const readDone = ({ status }: ExchangeAnswer) =>
+    status === 204 ? Right<void, Failure>(undefined) : undefined;
+  return {
+    put(name, body) {
+      const headers = { 'content-type': 'application/octet-stream' };
+      return exchange(name, { method: 'PUT', body, headers }, readDone);
+    },
+    remove: (name) => exchange(name, { method: 'DELETE' }, readDone),
+    get: (name) =>
+      exchange<Uint8Array | undefined>(name, { method: 'GET' }, ({ status, headers, body }) => {
+        if (status === 404) return Right(undefined);
+        const isWhole = Number(headers['content-length']) === body.length;
+        return status === 200 && isWhole ? Right(body) : undefined;
+      }),
+    close: link.close,
+  };
+}
