--- /dev/null
+++ b/src/callers/_access.ts
@@ -0,0 +1,107 @@
+/**
+ * Decides for which team and queue a request may work.
+ */
+import { Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import { Kind, refuse } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
+import type { Exchange } from '../http/mod.ts';
+import type { KeyHolder, Verifier } from '../keys/mod.ts';
+import { defaultQueue } from '../settings/mod.ts';
+import type { Fleet, Queue, Team } from '../settings/mod.ts';
+
+/** Who asks: the named team, and the verified key where one came along. */
+export interface Identity {
+  team: string;
+  holder?: KeyHolder;
+}
+
+function bearer(header: string): string | undefined {
+  return /^Bearer +(\S+) *$/i.exec(header)?.[1];
+}
+
+function findTeam(fleet: Fleet, name: string): Either<Failure, Team> {
+  const team = Object.hasOwn(fleet.teams, name) ? fleet.teams[name] : undefined;
+  return team ? Right(team) : refuse(Kind.TeamUnknown, 'there is no such team', { got: name });
+}
+
+const missing = <T>(team: string): Either<Failure, T> =>
+  refuse(Kind.KeyMissing, `this needs a key of team ${team}`, {
+    expected: 'the header "authorization: Bearer KEY"',
+  });
+
+/**
+ * Finds out who asks, from the headers alone.
+ *
+ * @example
+ * const identity = await identify({ exchange, verifier, fleet: settings.current });
+ */
+export async function identify(options: {
+  exchange: Exchange;
+  verifier: Verifier;
+  fleet: () => Fleet;
+}): Outcome<Identity> {
+  const { exchange, verifier, fleet } = options;
+  const authorization = exchange.header('authorization');
+  const named = exchange.header('x-team');
+  if (authorization === undefined) {
+    if (named === undefined) {
+      return refuse(Kind.KeyMissing, 'the request has no key', {
+        expected: 'the header "authorization: Bearer KEY", or "x-team: TEAM" for an open queue',
+      });
+    }
+    return findTeam(fleet(), named).chain<Failure, Identity>(({ name, queues }) =>
+      Object.values(queues).some(({ open }) => open) ? Right({ team: name }) : missing(name),
+    );
+  }
+  const key = bearer(authorization);
+  if (key === undefined) {
+    return refuse(Kind.KeyRejected, 'the authorization header is not understood', {
+      expected: 'the header "authorization: Bearer KEY"',
+    });
+  }
+  const verified = await verifier.verify(key);
+  return verified.chain<Failure, Identity>((holder) => {
+    if (holder.owner === 'operator') {
+      return refuse(Kind.KeyRejected, 'an operator key does no work; use a key of the team');
+    }
+    const team = named ?? holder.team;
+    return findTeam(fleet(), team).map(({ name }) => ({ team: name, holder }));
+  });
+}
+
+function mayUse({ team, holder }: Identity, { open }: Queue): Either<Failure, void> {
+  if (open || (holder?.owner === 'team' && holder.team === team)) return Right(undefined);
+  if (!holder) return missing(team);
+  const message = `the key is of another team; the queue takes only keys of team ${team}`;
+  return refuse(Kind.KeyRejected, message, {
+    got: holder.owner === 'team' ? holder.team : holder.owner,
+    expected: team,
+  });
+}
+
+/**
+ * Finds the queue and checks that the caller may use it.
+ *
+ * @example
+ * enterQueue({ identity, queue: request.queue, fleet: settings.current() });
+ */
+export function enterQueue(options: {
+  identity: Identity;
+  queue?: string;
+  fleet: Fleet;
+}): Either<Failure, Queue> {
+  const { identity, queue: name = defaultQueue, fleet } = options;
+  return findTeam(fleet, identity.team).chain<Failure, Queue>(({ queues }) => {
+    const queue = Object.hasOwn(queues, name) ? queues[name] : undefined;
+    if (!queue) {
+      // Names of queues are told only to callers who may use one.
+      const visible = Object.values(queues).filter((other) => mayUse(identity, other).isRight());
+      const expected = `one of ${visible.map((other) => other.name).join(', ')}`;
+      const message = `team ${identity.team} has no such queue`;
+      return refuse(Kind.QueueUnknown, message, { got: name, expected });
+    }
+    return mayUse(identity, queue).map(() => queue);
+  });
+}
--- a/src/errors/answer.ts
+++ b/src/errors/answer.ts
@@ -43,6 +43,7 @@
 export const answers: Readonly<Record<Kind, Answer>> = {
   [Kind.MalformedRequest]: refused(400),
   [Kind.BodyTooLarge]: refused(413),
+  [Kind.HeaderTooLarge]: refused(431),
   [Kind.NotFound]: refused(404),
   [Kind.MethodNotAllowed]: refused(405),
   [Kind.KeyMissing]: refused(401),
--- a/src/errors/failure.ts
+++ b/src/errors/failure.ts
@@ -14,6 +14,7 @@
   // Requests that are wrong in themselves.
   MalformedRequest: 'malformed-request',
   BodyTooLarge: 'body-too-large',
+  HeaderTooLarge: 'header-too-large',
   NotFound: 'not-found',
   MethodNotAllowed: 'method-not-allowed',
   KeyMissing: 'key-missing',
--- /dev/null
+++ b/src/http/_answer.ts
@@ -0,0 +1,81 @@
+/**
+ * Writes answers. A request refused before its body was read keeps its connection just long enough
+ * for the caller to read the answer.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { Clock } from '../clock/mod.ts';
+import { answers } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
+
+// Closing while the caller still writes resets the connection, and the caller may lose the answer.
+const lingerMs = 1_000;
+const maxQuotedLength = 500;
+const msPerSecond = 1_000;
+
+/** Keeps what was got readable; a caller need not get back its whole body. */
+function quote(got: unknown): unknown {
+  const text = JSON.stringify(got) as string | undefined;
+  return text && text.length > maxQuotedLength ? `${text.slice(0, maxQuotedLength)}...` : got;
+}
+
+/** The JSON body that tells a failure. */
+export function formatFailure({ kind, message, got, expected }: Failure): string {
+  const { ran } = answers[kind];
+  return JSON.stringify({ error: { kind, message, ran, got: quote(got), expected } });
+}
+
+/** The `retry-after` header of a failure, in whole seconds. */
+export function retryAfter({ kind, retryAfterMs }: Failure): Record<string, string> {
+  const ms = retryAfterMs ?? answers[kind].retryAfterMs;
+  if (ms === undefined) return {};
+  return { 'retry-after': String(Math.max(1, Math.ceil(ms / msPerSecond))) };
+}
+
+/** Sends a whole answer. */
+export function send(options: {
+  request: IncomingMessage;
+  response: ServerResponse;
+  status: number;
+  body: string;
+  headers: Record<string, string>;
+  close: boolean;
+  clock: Clock;
+}): void {
+  const { request, response, status, body, headers, clock } = options;
+  if (response.destroyed) return;
+  const unread = !request.complete;
+  const payload = Buffer.from(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': payload.length,
+    ...headers,
+    ...(options.close || unread ? { connection: 'close' } : {}),
+  });
+  if (!unread) {
+    response.end(payload);
+    return;
+  }
+  response.write(payload);
+  request.resume();
+  const stop = new AbortController();
+  request.once('end', () => stop.abort());
+  request.once('close', () => stop.abort());
+  clock
+    .sleep(lingerMs, stop.signal)
+    .then(() => response.end())
+    .catch(() => undefined);
+}
+
+/** An answer to bytes that are not a request, written to the bare socket. */
+export function formatRawFailure(failure: Failure): string {
+  const body = formatFailure(failure);
+  return [
+    `HTTP/1.1 ${answers[failure.kind].status} Refused`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+    '',
+    body,
+  ].join('\r\n');
+}
--- /dev/null
+++ b/src/http/exchange.ts
@@ -0,0 +1,83 @@
+/**
+ * One HTTP request as the handlers of the interfaces see it.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import { Kind, refuse } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
+
+/** A request and what handlers need of it. */
+export interface Exchange {
+  params: Record<string, string>;
+  query: Record<string, string | string[] | undefined>;
+  header(name: string): string | undefined;
+  /** Reads the body, which must be JSON and within the bound of the interface. */
+  readJson(): Outcome<unknown>;
+  /** Aborts when the caller goes away before the answer. */
+  signal: AbortSignal;
+}
+
+/** A successful answer; it is sent as JSON. */
+export interface Reply {
+  status: number;
+  body: unknown;
+}
+
+/** Answers one request. */
+export type Handler = (exchange: Exchange) => Outcome<Reply>;
+
+function tooLarge(maxBytes: number, got: number): Either<Failure, never> {
+  return refuse(Kind.BodyTooLarge, 'the body is too large', {
+    got: `${got} bytes or more`,
+    expected: `at most ${maxBytes} bytes`,
+  });
+}
+
+function readText(request: IncomingMessage, maxBytes: number): Outcome<string> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const onData = (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= maxBytes) {
+        chunks.push(chunk);
+        return;
+      }
+      request.off('data', onData);
+      resolve(tooLarge(maxBytes, size));
+    };
+    request.on('data', onData);
+    request.once('end', () => resolve(Right(Buffer.concat(chunks).toString('utf8'))));
+    request.once('close', () => resolve(refuse(Kind.MalformedRequest, 'the body ended early')));
+  });
+}
+
+/**
+ * Reads the JSON body of a request. A body that states its size is refused before it is read.
+ *
+ * @example
+ * const body = await readJson({ request, response, maxBytes: 1_048_576 });
+ */
+export async function readJson(options: {
+  request: IncomingMessage;
+  response: ServerResponse;
+  maxBytes: number;
+}): Outcome<unknown> {
+  const { request, response, maxBytes } = options;
+  const stated = Number(request.headers['content-length'] ?? 0);
+  if (stated > maxBytes) return tooLarge(maxBytes, stated);
+  if (request.headers.expect?.toLowerCase() === '100-continue') response.writeContinue();
+  const text = await readText(request, maxBytes);
+  return text.chain((json) => {
+    try {
+      return Right(JSON.parse(json) as unknown);
+    } catch (error) {
+      const cause = error instanceof Error ? error.message : String(error);
+      const expected = 'a JSON document';
+      return refuse(Kind.MalformedRequest, `the body is not JSON: ${cause}`, { expected });
+    }
+  });
+}
--- a/src/keys/issue.ts
+++ b/src/keys/issue.ts
@@ -17,7 +17,7 @@
 const secretBytes = 32;
 const saltBytes = 16;
 const hashBytes = 32;
-// 66 ms and 16 MB a run on the development machine. A higher cost would buy nothing: secrets are
+// 50 to 66 ms and 16 MB a run on the development machine. A higher cost would buy nothing: secrets are
 // 256 random bits.
 const scryptCost = { N: 16_384, r: 8, p: 1 };
 
