--- /dev/null
+++ b/src/bench/_process.ts
@@ -0,0 +1,243 @@
+/**
+ * One process of the policy scheduler: its index, waiting work, estimates and health, wired as an
+ * entry process wires them, but with direct calls between processes.
+ */
+import {
+  Trial,
+  makeEstimates,
+  makeLookupHeadroom,
+  makePlacementIndex,
+  makeShareLedger,
+  makeShareView,
+  makeWaitingWork,
+  makeWorkerHealth,
+  retryDelayMs,
+  routeLookup,
+} from '../decisions/mod.ts';
+import type { Estimates, WaitingItem } from '../decisions/mod.ts';
+import type { Need } from '../schema/mod.ts';
+import type { Cluster, Host, Run } from './_cluster.ts';
+import { placeGang } from './_gang.ts';
+import { makeLookups } from './_lookups.ts';
+import type { Lookups } from './_lookups.ts';
+import { fleetSize, makeRoomKeeper } from './_room_keeper.ts';
+import type { Work } from './_workload.ts';
+
+/** Parts of the policy that can be switched off. */
+export interface ProcessOptions {
+  reservation: boolean;
+  learning: boolean;
+  headroom: boolean;
+  quarantine: boolean;
+  boundMs: number;
+  lengthPenalty: number;
+  /** Peers asked for a place before an item keeps waiting. */
+  maxPeers: number;
+  checkBound: (holds: boolean, detail: () => string) => void;
+}
+
+type Place = Run['places'][number];
+
+/** One process. */
+export interface Process extends Lookups {
+  view: ReturnType<typeof makeShareView>;
+  waiting: ReturnType<typeof makeWaitingWork>;
+  estimates: Estimates;
+  health: ReturnType<typeof makeWorkerHealth>;
+  submit(work: Work): void;
+  cancel(work: Work): void;
+  ended(run: Run, failed: boolean): void;
+  released(run: Run, place: Place): void;
+  refresh(host: Host): void;
+  round(): void;
+  reclaim(entitled: Map<string, number>): void;
+  /** Starts the work on an own worker if one has room; used by peers as well. */
+  offer(work: Work, need: Need, expectedEndAt: number): boolean;
+  /** Takes the room of one place of a gang. */
+  taken(work: Work, place: Place): void;
+  requeue(work: Work): void;
+  hosts: Host[];
+  reservedWorker(): string | undefined;
+}
+
+/** What a process is made of. */
+export interface ProcessParts {
+  cluster: Cluster;
+  hosts: Host[];
+  teams: string[];
+  weights: Map<string, number>;
+  random: () => number;
+  peers: () => Process[];
+  options: Partial<ProcessOptions>;
+}
+
+const maxAttempts = 5;
+
+/** Makes one process. */
+export function makeProcess(parts: ProcessParts): Process {
+  const { cluster, hosts, teams, weights, random, peers, options } = parts;
+  const { reservation: reserves = true, learning = true, quarantine = true } = options;
+  const { headroom: keepsRoom = true, boundMs = 300_000, maxPeers = 3 } = options;
+  const { lengthPenalty = 0, checkBound } = options;
+  const view = makeShareView(teams);
+  const ledger = makeShareLedger(fleetSize(cluster));
+  const estimates = makeEstimates();
+  const health = makeWorkerHealth();
+  const headroom = makeLookupHeadroom();
+  const waiting = makeWaitingWork({ starvationBoundMs: boundMs, lengthPenalty, checkBound });
+  const works = new Map<string, Work>();
+  const attempts = new Map<string, number>();
+  const self = {} as Process;
+  const all = () => [self, ...peers()];
+  let inProgress = 0;
+  const index = makePlacementIndex({
+    random,
+    keptForLookups: () => (keepsRoom ? headroom.kept(cluster.now(), inProgress) : 0),
+  });
+
+  const refresh = (host: Host) => {
+    const { id } = host.candidate;
+    const penalty = quarantine ? health.penalty(id, cluster.now()) : 0;
+    const outstanding = [...host.runs].length;
+    index.upsert({ ...host.candidate, used: { ...host.used }, penalty, outstanding });
+  };
+  hosts.forEach(refresh);
+
+  const account = (work: Work, place: Place, factor: 1 | -1) => {
+    for (let i = 0; i < place.count; i++) {
+      if (factor > 0) ledger.started(work.team, work.size);
+      else ledger.ended(work.team, work.size);
+    }
+    view.setOwn(work.team, ledger.dominantShare(work.team));
+    if (work.kind === 'lookup') inProgress += factor;
+    const host = cluster.hosts.get(place.worker);
+    if (host) refresh(host);
+  };
+
+  const needOf = (work: Work): Need => ({
+    team: work.team,
+    queue: 'q',
+    kind: work.kind,
+    size: work.size,
+    estimateMs: work.estimateMs,
+  });
+  const runMs = (work: Work, quantile: number) =>
+    learning ? estimates.runMs(needOf(work), quantile) : work.estimateMs;
+  const room = makeRoomKeeper({ cluster, hosts, all, runMs, boundMs });
+
+  const offer: Process['offer'] = (work, need, expectedEndAt) => {
+    const avoidWorkers = room.closedFor(expectedEndAt);
+    return index
+      .choose(avoidWorkers.length > 0 ? { ...need, avoidWorkers } : need)
+      .map(({ worker }) => {
+        const spot = { worker, count: 1 };
+        cluster.start(work, [spot]);
+        account(work, spot, 1);
+        return true;
+      })
+      .orDefault(false);
+  };
+
+  const somePeers = () => {
+    const others = peers();
+    const from = Math.floor(random() * others.length);
+    const asked = Math.min(maxPeers, others.length);
+    return Array.from({ length: asked }, (_, i) => others[(from + i) % others.length]).flatMap(
+      (peer) => peer ?? [],
+    );
+  };
+
+  const place = (item: WaitingItem, { backfill }: { backfill: boolean }) => {
+    const work = works.get(item.id);
+    if (!work) return Trial.Placed;
+    if (item.gang) return placeGang(work, { cluster, all: all() }) ? Trial.Placed : Trial.NoRoom;
+    const holds = reserves && !backfill && waiting.reserved() === item.id;
+    if (holds) room.release();
+    const expectedEndAt = cluster.now() + runMs(work, 0.9);
+    if (offer(work, item.need, expectedEndAt)) return Trial.Placed;
+    if (somePeers().some((peer) => peer.offer(work, item.need, expectedEndAt))) {
+      return Trial.Placed;
+    }
+    if (holds) room.reserve(work);
+    return Trial.NoRoom;
+  };
+
+  const process: Process = {
+    view,
+    waiting,
+    estimates,
+    health,
+    hosts,
+    refresh,
+    offer,
+    reservedWorker: room.reserved,
+    reclaim(entitled) {
+      const waits = teams.filter((team) => waiting.size(team) > 0);
+      room.reclaim({ waits, entitled, used: (team) => view.dominantShare(team) });
+    },
+    taken: (work, spot) => account(work, spot, 1),
+    requeue(work) {
+      if (works.has(work.id)) self.submit(work);
+    },
+    submit(work) {
+      works.set(work.id, work);
+      waiting.add({
+        id: work.id,
+        team: work.team,
+        need: { ...needOf(work), estimateMs: runMs(work, 0.5) },
+        count: work.count,
+        gang: work.kind === 'gang',
+        enqueuedAt: work.at,
+      });
+    },
+    cancel(work) {
+      waiting.remove(work.id);
+      works.delete(work.id);
+    },
+    ended(run, failed) {
+      const { work } = run;
+      const now = cluster.now();
+      run.places.forEach(({ worker }) => health.record({ worker, job: work.job, failed, now }));
+      const attempt = (attempts.get(work.id) ?? 0) + 1;
+      attempts.set(work.id, attempt);
+      if (failed && attempt < maxAttempts && works.has(work.id)) {
+        cluster.after(retryDelayMs(attempt, random), () => self.requeue(work));
+        return;
+      }
+      works.delete(work.id);
+      attempts.delete(work.id);
+      if (failed) return;
+      const { team, kind, size: declared, used, estimateMs } = work;
+      const report = { team, kind, declared, used, estimateMs, runMs: now - run.startedAt };
+      // Usage reports lag.
+      cluster.after(10_000, () => estimates.observe(report));
+    },
+    released(run, spot) {
+      account(run.work, spot, -1);
+      if (run.work.kind === 'lookup') headroom.finished(cluster.now() - run.startedAt);
+    },
+    round() {
+      const usage = {
+        dominantShare: (team: string) => view.dominantShare(team),
+        weight: (team: string) => weights.get(team) ?? 1,
+      };
+      waiting.round({ now: cluster.now(), usage, place });
+      if (waiting.reserved() === undefined) room.release();
+    },
+    ...makeLookups({
+      cluster,
+      index,
+      headroom,
+      random,
+      peers,
+      avoid: room.reserved,
+      start(work, worker) {
+        cluster.start(work, [{ worker, count: 1 }]);
+        account(work, { worker, count: 1 }, 1);
+      },
+      needOf,
+      route: routeLookup,
+    }),
+  };
+  return Object.assign(self, process);
+}
--- /dev/null
+++ b/src/bench/_report.ts
@@ -0,0 +1,106 @@
+/**
+ * Runs over seeds, tables and result files.
+ */
+
+/** Measured values of one variant on one deployment, one per seed. */
+export interface Series {
+  deployment: string;
+  variant: string;
+  values: Record<string, number[]>;
+}
+
+/** What an experiment found. */
+export interface Report {
+  series: Series[];
+  /** Conditions that were broken; empty when the experiment passed. */
+  failures: string[];
+}
+
+/** Flags of a run. */
+export interface BenchOptions {
+  seeds: number;
+  firstSeed: number;
+  only?: string;
+}
+
+/** An experiment of the bench. */
+export interface Experiment {
+  title: string;
+  /** What it takes to fail. */
+  failsWhen: string;
+  /** The variant that the others are compared with. */
+  subject: string;
+  run(options: BenchOptions): Report | Promise<Report>;
+}
+
+export function mean(values: number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
+
+/** Standard deviation over the seeds. */
+export function deviation(values: number[]): number {
+  const centre = mean(values);
+  const squares = values.reduce((sum, value) => sum + (value - centre) ** 2, 0);
+  return Math.sqrt(squares / Math.max(1, values.length - 1));
+}
+
+/** The value that the given part of the list does not exceed. */
+export function quantile(values: number[], part: number): number {
+  if (values.length === 0) return 0;
+  const sorted = Float64Array.from(values).sort();
+  return sorted[Math.min(sorted.length - 1, Math.floor(part * sorted.length))] ?? 0;
+}
+
+/** Runs a measurement once per seed and collects the values. */
+export function overSeeds(
+  { seeds, firstSeed }: BenchOptions,
+  measure: (seed: number) => Record<string, number>,
+): Record<string, number[]> {
+  const values: Record<string, number[]> = {};
+  for (let i = 0; i < seeds; i++) {
+    Object.entries(measure(firstSeed + i)).forEach(([name, value]) => {
+      values[name] = [...(values[name] ?? []), value];
+    });
+  }
+  return values;
+}
+
+/** Finds the mean of a value of a variant. */
+export function meanOf(
+  series: Series[],
+  { deployment, variant, value }: { deployment: string; variant: string; value: string },
+): number {
+  const found = series.find(
+    (other) => other.deployment === deployment && other.variant === variant,
+  );
+  return mean(found?.values[value] ?? []);
+}
+
+function format(value: number): string {
+  if (!Number.isFinite(value)) return 'n/a';
+  if (Math.abs(value) >= 1_000) return Math.round(value).toString();
+  return Math.abs(value) >= 10 ? value.toFixed(1) : value.toFixed(3);
+}
+
+/** The table: mean, spread over the seeds, and the ratio to the subject's mean. */
+export function formatTable(series: Series[], subject: string): string {
+  const lines: string[] = [];
+  const deployments = [...new Set(series.map(({ deployment }) => deployment))];
+  deployments.forEach((deployment) => {
+    const rows = series.filter((row) => row.deployment === deployment);
+    const names = Object.keys(rows[0]?.values ?? {});
+    lines.push(`\n${deployment}`);
+    lines.push(['variant'.padEnd(18), ...names.map((name) => name.padStart(27))].join(''));
+    rows.forEach(({ variant, values }) => {
+      const cells = names.map((name) => {
+        const list = values[name] ?? [];
+        const base = meanOf(rows, { deployment, variant: subject, value: name });
+        const ratio = base === 0 ? NaN : mean(list) / base;
+        const spread = `${format(mean(list))} ±${format(deviation(list))}`;
+        return `${spread} (x${format(ratio)})`.padStart(27);
+      });
+      lines.push([variant.padEnd(18), ...cells].join(''));
+    });
+  });
+  return lines.join('\n');
+}
--- a/src/decisions/_waiting_work.ts
+++ b/src/decisions/_waiting_work.ts
@@ -54,7 +54,7 @@
  * waiting.add(item);
  * waiting.round({ now, usage, place: () => Trial.Placed });
  */
-export function makeWaitingWork(options: WaitingOptions = {}): WaitingWork {
+export function makeWaitingWork(options: WaitingOptions = {}): Required<WaitingWork> {
   const {
     starvationBoundMs = tenMinutesMs,
     lengthPenalty = 0,
@@ -193,6 +193,7 @@
     get: (id) => items.get(id)?.item,
     size: (team) => (team === undefined ? items.size : (teams.get(team)?.size() ?? 0)),
     round,
+    reserved: () => reserved?.id,
     explain(id, now) {
       const waiting = items.get(id);
       if (!waiting) return undefined;
--- a/src/decisions/waiting.ts
+++ b/src/decisions/waiting.ts
@@ -46,6 +46,8 @@
     usage: Usage;
     place: (item: WaitingItem, options: { backfill: boolean }) => Trial;
   }): WaitingItem[];
+  /** The item that room is being reserved for. */
+  reserved?(): string | undefined;
   /** Why an item still waits. */
   explain(id: string, now: number): string | undefined;
 }
