--- a/src/standins/_worker_state.ts
+++ b/src/standins/_worker_state.ts
@@ -24,6 +24,8 @@
   epoch: number;
   team: string;
   kind: string;
+  /** The `answer` of the body, which shows two starts of one request under different task ids. */
+  answer?: unknown;
   /** Wall-clock times, comparable between workers of one machine. */
   startedAt: number;
   endedAt?: number;
@@ -119,8 +121,9 @@
     const { task, attempt, epoch, team, kind, leaseMs } = request;
     this.attempts.set(task, attempt);
     const startedAt = clock.now();
+    const { answer } = (request.body ?? {}) as TaskBody;
     const record: StartRecord = {
-      ...{ worker: id, task, attempt, epoch, team, kind },
+      ...{ worker: id, task, attempt, epoch, team, kind, answer },
       ...{ startedAt: clock.wall(), state: 'running' },
     };
     this.starts.push(record);
--- a/src/standins/mod.ts
+++ b/src/standins/mod.ts
@@ -3,5 +3,6 @@
  */
 export * from './services.ts';
 export * from './worker.ts';
-export type { Faults, Standin, StandinOptions } from './_server.ts';
+export { startServer } from './_server.ts';
+export type { Call, Faults, Reply, Standin, StandinOptions } from './_server.ts';
 export type { StartRecord, WorkerFaults } from './_worker_state.ts';
