Add operators' HTTP interface and operator command

Cause: operators read and change settings, jobs and state without touching the hosts of processes.

Change: src/operators serves settings, history, jobs of all members, explanations, cancellation, state, health and readiness to operator keys. The first settings of a fleet are accepted only with the key of an operator whom they name. The command dogwood checks, applies, shows and compares trees, makes single edits that keep comments, and lists teams, keys, data centres, upstreams and jobs. An edit of a single thing that lost a race is made once more from the fresh settings; apply never is, and needs the version its folder was made from.

--- /dev/null
+++ b/src/operator/operator_test.ts
@@ -0,0 +1,207 @@
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { Kind, failure } from '../errors/mod.ts';
+import { issueKey } from '../keys/mod.ts';
+import { startOperators } from '../testing/operators_server.ts';
+import { addSection, removeSection, setKey } from './_edit_text.ts';
+import { runOperator } from './mod.ts';
+
+const ana = await issueKey({ owner: 'operator', id: 'ana' });
+const files = {
+  'fleet.ini': `[operator.ana]\nsalt = ${ana.salt}\nhash = ${ana.hash}\n`,
+  'data-centres/ak1.ini': 'region = north\n',
+  'upstreams/r1.ini':
+    '[rack]\ndata_centre = ak1\n[upstream.w1]\naddress = 127.0.0.1\nport = 1\nprocessors = 1\nmemory_mb = 1\n',
+  'teams/millers/team.ini': 'limit = 10 ; running tasks\n',
+};
+
+function makeFolder(tree: Record<string, string> = files): string {
+  const folder = mkdtempSync(path.join(tmpdir(), 'dogwood-'));
+  Object.entries(tree).forEach(([name, text]) => {
+    const file = path.join(folder, name);
+    mkdirSync(path.dirname(file), { recursive: true });
+    writeFileSync(file, text);
+  });
+  return folder;
+}
+
+async function dogwood(args: string[], env: Record<string, string> = {}) {
+  const lines: string[] = [];
+  const write = (text: string) => lines.push(text);
+  const code = await runOperator(args, { out: write, err: write, env });
+  return { code, text: lines.join('\n') };
+}
+
+async function startFleet() {
+  const server = await startOperators();
+  const env = { DOGWOOD_KEY: ana.key, DOGWOOD_SERVER: server.url };
+  const run = (...args: string[]) => dogwood(args, env);
+  const folder = makeFolder();
+  const applied = await run('apply', folder, '--base', '0');
+  assert.is(applied.code, 0, applied.text);
+  return { ...server, env, run, folder };
+}
+
+test('a check that needs a server, or stops at one fault, would let faults reach the fleet', async () => {
+  const good = makeFolder();
+  assert.equal(await dogwood(['check', good]), { code: 0, text: `${good}: 4 files, no faults` });
+  const bad = makeFolder({ ...files, 'teams/x/team.ini': 'limt = 1\nlimit = 2\nlimit = 3\n' });
+  const { code, text } = await dogwood(['check', bad]);
+  assert.is(code, 2);
+  assert.match(text, '2 faults');
+  assert.match(text, 'did you mean limit?');
+  assert.is((await dogwood(['check', `${bad}/none`])).code, 2);
+  assert.is((await dogwood(['check', makeFolder({})])).code, 2);
+});
+
+test('a wrong command line or an absent server that ends with code 0 would fool scripts', async () => {
+  const wrong = [
+    [],
+    ['chek', 'x'],
+    ['team'],
+    ['team', 'create', 'x'],
+    ['jobs', '--nope'],
+    ['show'],
+  ];
+  for (const args of wrong) assert.is((await dogwood(args)).code, 2, args.join(' '));
+  const nobody = ['team', 'list', '--server', 'http://127.0.0.1:9', '--key', 'k'];
+  const { code, text } = await dogwood(nobody);
+  assert.is(code, 3);
+  assert.match(text, 'no entry process answers at http://127.0.0.1:9');
+  const { url, operators } = await startOperators();
+  const refused = await dogwood(['team', 'list', '--server', url, '--key', ana.key]);
+  assert.is(refused.code, 1);
+  assert.match(refused.text, 'operator-rejected');
+  await operators.drain();
+});
+
+test('commands that do something else than they say would mislead in an incident', async () => {
+  const { run, parts, operators, cancelled } = await startFleet();
+  const expectFine = async (...args: string[]) => {
+    const { code, text } = await run(...args);
+    assert.is(code, 0, `${args.join(' ')}: ${text}`);
+    return text;
+  };
+  await expectFine('team', 'create', 'bakers', '--limit', '5');
+  await expectFine('team', 'set', 'millers', '--limit', '7');
+  assert.is(parts.settings.tree()['teams/millers/team.ini'], 'limit = 7 ; running tasks\n');
+  assert.match(await expectFine('team', 'list'), /bakers\s+1\s+5/);
+  const issued = await expectFine('key', 'issue', 'bakers', 'k1');
+  assert.match(issued, /dwt_bakers_k1_\S{43}/);
+  assert.match(await expectFine('key', 'list', 'bakers'), /bakers\s+k1/);
+  await expectFine('key', 'withdraw', 'bakers', 'k1');
+  assert.equal(parts.settings.current().teams.bakers?.keys, []);
+  await expectFine('data-centre', 'out', 'ak1');
+  assert.is(parts.settings.current().dataCentres.ak1?.inService, false);
+  assert.match(await expectFine('data-centre', 'list'), /ak1\s+north\s+out\s+1/);
+  await expectFine('data-centre', 'in', 'ak1');
+  assert.is(parts.settings.current().dataCentres.ak1?.inService, true);
+  await expectFine('upstream', 'leave', 'w1');
+  assert.is(parts.settings.current().upstreams.w1?.leaving, true);
+  assert.match(await expectFine('upstream', 'list'), /w1\s+r1\s+ak1\s+127.0.0.1:1\s+leaving/);
+  await expectFine('upstream', 'return', 'w1');
+  assert.match(
+    await expectFine('history'),
+    /9\s+\S+\s+ana\s+upstreams\/r1.ini\s+upstream w1 returns/,
+  );
+  assert.match(await expectFine('jobs'), /j2[^]*Members that did not answer: m3/);
+  assert.match(await expectFine('explain', 'j1'), 'no room');
+  assert.match(await expectFine('cancel', 'j1'), 'j1: cancelled');
+  assert.equal(cancelled, ['millers/j1']);
+  assert.match(await expectFine('state', 'm2'), '"member": "m2"');
+  await operators.drain();
+});
+
+test('a name that does not exist told without the known ones would cost time in an incident', async () => {
+  const { run, operators, parts } = await startFleet();
+  const wrong: [string[], string][] = [
+    [['team', 'set', 'miller', '--limit', '1'], 'did you mean millers?'],
+    [['team', 'set', 'millers'], 'nothing to set'],
+    [['team', 'set', 'millers', '--limit', 'many'], 'expected a whole number'],
+    [['team', 'create', 'millers', '--limit', '1'], 'exists already'],
+    [['team', 'create', 'Big Team', '--limit', '1'], 'name in the path'],
+    [['key', 'issue', 'nobody', 'k1'], 'there is no team nobody'],
+    [['key', 'withdraw', 'millers', 'k1'], 'there is no key of team millers named k1'],
+    [['data-centre', 'out', 'ak2'], 'did you mean ak1?'],
+    [['upstream', 'leave', 'w2'], 'did you mean w1?'],
+  ];
+  for (const [args, expected] of wrong) {
+    const { code, text } = await run(...args);
+    assert.is(code, 2, args.join(' '));
+    assert.match(text, expected);
+  }
+  assert.is((await run('state', 'm9')).code, 1);
+  assert.is(parts.settings.current().version, 1);
+  await operators.drain();
+});
+
+test('a withdrawal lost in a race would leave a leaked key working; an apply repeated would undo a colleague', async () => {
+  const { run, operators, parts, table, folder } = await startFleet();
+  await run('key', 'issue', 'millers', 'k1');
+  let races = 1;
+  table.beforeCommit = () => {
+    races -= 1;
+    return races < 0 ? undefined : failure(Kind.SettingsConflict, 'bo was first');
+  };
+  const withdrawn = await run('key', 'withdraw', 'millers', 'k1');
+  assert.is(withdrawn.code, 0, withdrawn.text);
+  assert.equal(parts.settings.current().teams.millers?.keys, []);
+  writeFileSync(path.join(folder, 'teams/millers/team.ini'), 'limit = 1\n');
+  const stale = await run('apply', folder);
+  assert.is(stale.code, 1);
+  assert.match(stale.text, 'version 3 by ana changed teams/millers/keys.ini');
+  assert.is(parts.settings.current().version, 3);
+  races = 2;
+  assert.is((await run('data-centre', 'out', 'ak1')).code, 1, 'one repetition only');
+  await operators.drain();
+});
+
+test('a folder without its version would overwrite what came after it', async () => {
+  const { run, operators, parts, folder } = await startFleet();
+  assert.is(readFileSync(path.join(folder, '.dogwood-version'), 'utf8'), '1\n');
+  await run('team', 'set', 'millers', '--limit', '3');
+  assert.match((await run('diff', folder)).text, /limit = 3.*\n.*limit = 10/);
+  const fresh = path.join(makeFolder({}), 'tree');
+  assert.is((await run('show', '--dir', fresh)).code, 0);
+  assert.is((await run('show', '--dir', fresh)).code, 2, 'not empty');
+  assert.match((await run('apply', fresh)).text, 'Nothing to change');
+  rmSync(path.join(fresh, 'data-centres'), { recursive: true });
+  rmSync(path.join(fresh, 'upstreams'), { recursive: true });
+  assert.is((await run('apply', fresh)).code, 0);
+  assert.equal(parts.settings.current().dataCentres, {});
+  rmSync(path.join(fresh, '.dogwood-version'));
+  assert.match((await run('apply', fresh)).text, '--base N');
+  assert.is((await run('show', 'fleet.ini')).text, files['fleet.ini'].trimEnd());
+  await operators.drain();
+});
+
+test('the printed operator section must make the printed key valid', async () => {
+  const { text } = await dogwood(['operator-key', 'bo']);
+  const key = /DOGWOOD_KEY=(\S+)/.exec(text)?.[1] ?? '';
+  const { url, operators } = await startOperators();
+  const folder = makeFolder({ 'fleet.ini': text });
+  const applied = await dogwood(['apply', folder, '--base', '0', '--server', url, '--key', key]);
+  assert.is(applied.code, 0, applied.text);
+  await operators.drain();
+});
+
+test('an edit that drops comments or other sections would lose what operators wrote', () => {
+  const text = '; keys\n[key.a]\nsalt = 1 # old\n\n[key.b]\nsalt = 2\n';
+  assert.is(removeSection(text, 'key.a'), '; keys\n[key.b]\nsalt = 2\n');
+  const added = addSection(text, { section: 'key.c', values: { salt: '3' } });
+  assert.is(added, `${text}\n[key.c]\nsalt = 3\n`);
+  const set = setKey(text, { section: 'key.a', key: 'salt', value: '9' });
+  assert.is(set, text.replace('salt = 1', 'salt = 9'));
+  assert.match(
+    setKey(text, { section: 'key.a', key: 'hash', value: '9' }),
+    'old\nhash = 9\n\n[key.b]',
+  );
+  assert.is(setKey('', { section: '', key: 'limit', value: '1' }), 'limit = 1\n');
+});
+
+test.run();
--- /dev/null
+++ b/src/operators/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * The operators' HTTP interface: settings, jobs, explanations, state, health and readiness.
+ */
+export * from './operators.ts';
--- a/src/schema/_generated/types.ts
+++ b/src/schema/_generated/types.ts
@@ -364,6 +364,39 @@
 export interface ChangesQuestion {
   after: number;
 }
+/**
+ * A change of settings as an operator submits it, made from version `base`; null removes a file.
+ */
+export interface SettingsProposal {
+  base: number;
+  note?: string;
+  files: {
+    [k: string]: string | null;
+  };
+}
+/**
+ * The settings in force, as operators read them.
+ */
+export interface SettingsTree {
+  version: number;
+  files: {
+    [k: string]: string;
+  };
+}
+/**
+ * Changes of settings, newest first, without the texts of files.
+ */
+export interface SettingsHistory {
+  version: number;
+  changes: SettingsChange[];
+}
+export interface SettingsChange {
+  version: number;
+  by: string;
+  at: number;
+  note: string;
+  files: string[];
+}
 /**
  * Row `head`: newest versions, and the share digest (running tasks per team).
  */
