--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -42,6 +42,8 @@
       'no-underscore-dangle': 'off',
       'no-plusplus': ['error', { allowForLoopAfterthoughts: true }],
       'n/no-sync': 'off',
+      // The programs that package.json names are compiled from src/bin.
+      'n/hashbang': 'off',
       'n/no-process-env': 'off',
       'n/global-require': 'off',
       '@typescript-eslint/no-use-before-define': [
@@ -57,4 +59,6 @@
       'max-lines': ['error', { max: 300, skipBlankLines: false, skipComments: false }],
     },
   },
+  // Programs end themselves with an exit code.
+  { files: ['src/bin/**/*.ts'], rules: { 'n/no-process-exit': 'off' } },
 ];
--- a/src/bin/bench.ts
+++ b/src/bin/bench.ts
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 /**
  * `npm run bench -- NAME`: runs one experiment, prints its table and writes bench-results/NAME.json.
  */
--- /dev/null
+++ b/src/bin/entry.ts
@@ -0,0 +1,70 @@
+#!/usr/bin/env node
+/**
+ * `dogwood-entry`: one entry process.
+ */
+import { readFileSync } from 'node:fs';
+
+import yargs from 'yargs';
+import { hideBin } from 'yargs/helpers';
+
+import { makeRandom, systemClock } from '../clock/mod.ts';
+import { makeEntry } from '../entry/mod.ts';
+import { makeLogs } from '../logs/mod.ts';
+import { readEntrySettings } from '../settings/mod.ts';
+
+const exitCodes = { failed: 1, usage: 2 } as const;
+
+function fail(message: string, code: number): never {
+  process.stderr.write(`dogwood-entry: ${message}\n`);
+  process.exit(code);
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    return fail(`cannot read ${file}: ${(error as Error).message}`, exitCodes.usage);
+  }
+}
+
+const { settings: file, fatal } = await yargs(hideBin(process.argv))
+  .scriptName('dogwood-entry')
+  .usage('$0 --settings FILE\n\nRuns one entry process until SIGTERM or SIGINT.')
+  .option('settings', {
+    type: 'string',
+    demandOption: true,
+    describe: 'The entry.ini of this process (docs/settings.md)',
+  })
+  .option('fatal', {
+    type: 'boolean',
+    default: false,
+    describe: 'Exit with code 70 on a violated invariant, for tests',
+  })
+  .strict()
+  .parse();
+
+const violated = 70;
+const settings = readEntrySettings(readText(file)).caseOf({
+  Left: ({ message }) => fail(message, exitCodes.usage),
+  Right: (value) => value,
+});
+const logs = makeLogs({ level: settings.process.log_level, process: settings.process.name });
+const entry = makeEntry({
+  settings,
+  clock: systemClock,
+  random: makeRandom(process.pid + Date.now()),
+  logs,
+  onViolation: () => fatal && process.exit(violated),
+});
+
+process.on('SIGUSR2', () => process.stdout.write(`${JSON.stringify(entry.dump())}\n`));
+['SIGTERM', 'SIGINT'].forEach((signal) =>
+  process.on(signal, () => {
+    entry.drain().then(
+      () => process.exit(0),
+      (error: unknown) => fail(String(error), exitCodes.failed),
+    );
+  }),
+);
+const started = await entry.start();
+started.ifLeft(({ message }) => fail(message, exitCodes.failed));
--- a/src/bin/load.ts
+++ b/src/bin/load.ts
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 /**
  * `dogwood-load`: sends an open-loop load and prints the result as JSON.
  */
--- a/src/bin/operator.ts
+++ b/src/bin/operator.ts
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 /**
  * The operator command.
  */
--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 /**
  * `dogwood-standin`: runs a stand-in for one of the platform's services, or workers.
  */
--- /dev/null
+++ b/src/deployment/callers.ts
@@ -0,0 +1,89 @@
+/**
+ * A caller of a deployment, for the demo, tests and benchmarks.
+ */
+import { fetch } from 'undici';
+import type { Response } from 'undici';
+
+import type { Clock } from '../clock/mod.ts';
+
+/** An answer of the callers' interface. */
+export interface CallerAnswer {
+  status: number;
+  body: Record<string, unknown>;
+  /** The kind of the failure; empty for a success. */
+  kind: string;
+}
+
+/** Sends requests for one team. */
+export interface CallerClient {
+  lookup(
+    body: Record<string, unknown>,
+    options?: { request?: string; key?: string },
+  ): Promise<CallerAnswer>;
+  submit(job: Record<string, unknown>): Promise<CallerAnswer>;
+  job(id: string): Promise<CallerAnswer>;
+  result(id: string): Promise<CallerAnswer>;
+  cancel(id: string): Promise<CallerAnswer>;
+  /** Asks until the job is in one of the states. */
+  until(id: string, states: string[], options?: { timeoutMs?: number }): Promise<CallerAnswer>;
+}
+
+const pollMs = 100;
+const defaultTimeoutMs = 20_000;
+
+async function read(answer: Response): Promise<CallerAnswer> {
+  const text = await answer.text();
+  const body = (text ? JSON.parse(text) : {}) as Record<string, unknown>;
+  const { kind = '' } = (body.error ?? {}) as { kind?: string };
+  return { status: answer.status, body, kind };
+}
+
+/**
+ * Makes a caller; `base` is asked for each request, so that it can follow a process that was replaced.
+ *
+ * @example
+ * const caller = makeCaller({ base: () => entry.callers, key, clock: systemClock });
+ * await caller.lookup({ body: { runMs: 20 } });
+ */
+export function makeCaller(options: {
+  base: () => string;
+  key: string;
+  clock: Clock;
+}): CallerClient {
+  const { base, key, clock } = options;
+  const send = async (
+    path: string,
+    sent: { method?: string; body?: unknown; request?: string; key?: string } = {},
+  ) => {
+    const { method = 'GET', body, request } = sent;
+    const headers: Record<string, string> = {
+      authorization: `Bearer ${sent.key ?? key}`,
+      ...(body === undefined ? {} : { 'content-type': 'application/json' }),
+      ...(request === undefined ? {} : { 'x-request-id': request }),
+    };
+    const text = body === undefined ? {} : { body: JSON.stringify(body) };
+    return read(await fetch(`${base()}${path}`, { method, headers, ...text }));
+  };
+  const job = (id: string) => send(`/v1/jobs/${id}`);
+  return {
+    lookup: (body, rest = {}) => send('/v1/lookups', { method: 'POST', body, ...rest }),
+    submit: (body) => send('/v1/jobs', { method: 'POST', body }),
+    job,
+    result: (id) => send(`/v1/jobs/${id}/result`),
+    cancel: (id) => send(`/v1/jobs/${id}`, { method: 'DELETE' }),
+    async until(id, states, { timeoutMs = defaultTimeoutMs } = {}) {
+      const deadline = clock.now() + timeoutMs;
+      for (;;) {
+        const answer = await job(id);
+        if (states.includes(String(answer.body.state))) return answer;
+        if (clock.now() > deadline) {
+          throw new Error(
+            `job ${id} is not ${states.join(' or ')} after ${timeoutMs} ms: ` +
+              `${answer.status} ${JSON.stringify(answer.body)}`,
+          );
+        }
+        await clock.sleep(pollMs);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/deployment/site.ts
@@ -0,0 +1,104 @@
+/**
+ * The description of a deployment and the settings tree that follows from it.
+ */
+import { issueKey } from '../keys/mod.ts';
+import type { Size } from '../schema/mod.ts';
+
+/** Workers of one data centre. */
+export interface SiteDataCentre {
+  name: string;
+  region: string;
+  racks: number;
+  workersPerRack: number;
+}
+
+/** A team and its limit. */
+export interface SiteTeam {
+  name: string;
+  share: number;
+  limit: number;
+}
+
+/** What a deployment consists of. */
+export interface Site {
+  dataCentres: SiteDataCentre[];
+  capacity: Size;
+  teams: SiteTeam[];
+  entries: number;
+}
+
+/** A worker with its place in the site. */
+export interface SiteWorker {
+  id: string;
+  dataCentre: string;
+  rack: string;
+}
+
+/** The first settings of a site and the keys that go with them. */
+export interface SiteSettings {
+  files: Record<string, string>;
+  operatorKey: string;
+  keys: Record<string, string>;
+}
+
+/**
+ * Lists the workers of a site.
+ *
+ * @example
+ * listWorkers(site).map(({ id }) => id);
+ */
+export function listWorkers({ dataCentres }: Site): SiteWorker[] {
+  return dataCentres.flatMap(({ name, racks, workersPerRack }) =>
+    Array.from({ length: racks }, (_, r) => `${name}-r${r + 1}`).flatMap((rack) =>
+      Array.from({ length: workersPerRack }, (_, w) => ({
+        id: `${rack}-w${w + 1}`,
+        dataCentre: name,
+        rack,
+      })),
+    ),
+  );
+}
+
+function rackFile(site: Site, workers: SiteWorker[], ports: Record<string, number>): string {
+  const { processors, memoryMb, accelerators, slots } = site.capacity;
+  const sections = workers.map(
+    ({ id }) =>
+      `[upstream.${id}]\naddress = 127.0.0.1\nport = ${ports[id] ?? 0}\nprocessors = ${processors}\n` +
+      `memory_mb = ${memoryMb}\naccelerators = ${accelerators}\nslots = ${slots}\n`,
+  );
+  return `[rack]\ndata_centre = ${workers[0]?.dataCentre ?? ''}\n\n${sections.join('\n')}`;
+}
+
+/**
+ * Builds the first settings of a site, with an operator and a key for each team.
+ *
+ * @example
+ * const { files, operatorKey, keys } = await buildSettings(site, ports);
+ */
+export async function buildSettings(
+  site: Site,
+  ports: Record<string, number>,
+): Promise<SiteSettings> {
+  const operator = await issueKey({ owner: 'operator', id: 'ops' });
+  const files: Record<string, string> = {
+    'fleet.ini': `[operator.ops]\nsalt = ${operator.salt}\nhash = ${operator.hash}\n`,
+  };
+  site.dataCentres.forEach(({ name, region }) => {
+    files[`data-centres/${name}.ini`] = `region = ${region}\nin_service = yes\n`;
+  });
+  const racks = new Map<string, SiteWorker[]>();
+  listWorkers(site).forEach((worker) =>
+    racks.set(worker.rack, [...(racks.get(worker.rack) ?? []), worker]),
+  );
+  racks.forEach((workers, rack) => {
+    files[`upstreams/${rack}.ini`] = rackFile(site, workers, ports);
+  });
+  const keys: Record<string, string> = {};
+  for (const { name, share, limit } of site.teams) {
+    const { key, salt, hash } = await issueKey({ owner: 'team', team: name, id: 'k1' });
+    keys[name] = key;
+    files[`teams/${name}/team.ini`] = `share = ${share}\nlimit = ${limit}\n`;
+    files[`teams/${name}/keys.ini`] = `[key.k1]\nsalt = ${salt}\nhash = ${hash}\n`;
+  }
+  return { files, operatorKey: operator.key, keys };
+}
--- /dev/null
+++ b/src/entry/core.ts
@@ -0,0 +1,218 @@
+/**
+ * Wires everything of an entry process that lies between its outside interfaces. The process gives
+ * it real clients; the fault harness gives it fakes.
+ */
+import { Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
+
+import type { Clock, Random } from '../clock/mod.ts';
+import { makeLookupHeadroom, makePlacementIndex, makeWorkerHealth } from '../decisions/mod.ts';
+import { makeLookups, makePeerChoice } from '../dispatch/mod.ts';
+import type { Dispatch, Lookups, PeerChoice } from '../dispatch/mod.ts';
+import { Kind, refuse } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
+import type { Hosts } from '../hosts/mod.ts';
+import type { Invariants } from '../invariants/mod.ts';
+import { makeLimits } from '../limits/mod.ts';
+import type { LimitsTask } from '../limits/mod.ts';
+import { Part } from '../logs/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import { Phase, makeMembership } from '../membership/mod.ts';
+import type { Identity, MembershipTask } from '../membership/mod.ts';
+import type { Metrics } from '../metrics/mod.ts';
+import type { Objects } from '../objects/mod.ts';
+import { makeOwnership } from '../ownership/mod.ts';
+import type { OwnershipTask, WorkerUse } from '../ownership/mod.ts';
+import type { Peer, Peers } from '../peers/mod.ts';
+import type { Requests } from '../requests/mod.ts';
+import { makePool } from '../pool/mod.ts';
+import type { Pool } from '../pool/mod.ts';
+import { makeSettings } from '../settings/mod.ts';
+import type { SettingsHolder } from '../settings/mod.ts';
+import { makeWriter } from '../table/mod.ts';
+import type { Table, WriterLane } from '../table/mod.ts';
+import type { Workers } from '../workers/mod.ts';
+import { dumpCore } from './_dump.ts';
+import { makeHandlers } from './_handlers.ts';
+import { watchHosts } from './_host_watch.ts';
+
+/** The outside of a process. */
+export interface CoreOptions {
+  table: Table;
+  workers: Workers;
+  objects: Objects;
+  hosts?: Hosts;
+  /** Clients of peers; `onRoom` is to be called with the free slots that an answer carries. */
+  connectPeers: (onRoom: (member: string, room: number) => void) => Peers;
+  clock: Clock;
+  random: Random;
+  /** Describes this process; gives an id that was never used on each call. */
+  identify: () => Identity;
+  /** Ends the requests of callers; called while the process drains, before its workers leave. */
+  endRequests?: () => Promise<void>;
+  invariants: Invariants;
+  metrics: Metrics;
+  logs: (part: Part) => Log;
+}
+
+/** The running parts. */
+export interface Core {
+  table: Table;
+  settings: SettingsHolder;
+  membership: MembershipTask;
+  ownership: OwnershipTask;
+  limits: LimitsTask;
+  writer: WriterLane;
+  pool: Pool;
+  peers: Peers;
+  lookups: Lookups;
+  requests: Requests;
+  dispatch: Dispatch;
+  /** What peers are answered. */
+  handlers: Peer;
+  /** Fails while this process may not act. */
+  gate: () => Either<Failure, void>;
+  run(signal: AbortSignal): Promise<void>;
+  dump(): Record<string, unknown>;
+}
+
+const drainPollMs = 50;
+
+function makeGate(membership: MembershipTask) {
+  return (): Either<Failure, void> => {
+    if (membership.phase() === Phase.Draining || membership.phase() === Phase.Left) {
+      return refuse(Kind.Draining, 'this process is shutting down');
+    }
+    if (!membership.isFresh()) {
+      return refuse(Kind.NotFresh, 'this process has no fresh read of the settings');
+    }
+    return Right(undefined);
+  };
+}
+
+function makeUse(pool: () => Pool) {
+  return (worker: string): WorkerUse => {
+    const units: Record<string, number> = {};
+    let starting = false;
+    pool()
+      .tasks()
+      .filter((task) => task.worker === worker)
+      .forEach(({ team, state }) => {
+        units[team] = (units[team] ?? 0) + 1;
+        starting ||= state === 'starting';
+      });
+    return { units, starting };
+  };
+}
+
+function makePolicyParts(options: CoreOptions, lookups: () => Lookups) {
+  const { clock, random } = options;
+  const headroom = makeLookupHeadroom();
+  const health = makeWorkerHealth();
+  const placement = makePlacementIndex({
+    random,
+    keptForLookups: () => headroom.kept(clock.now(), lookups().open()),
+  });
+  return { headroom, health, placement };
+}
+
+/**
+ * Wires the parts.
+ *
+ * @example
+ * const core = makeCore({ table, workers, objects, connectPeers, clock, random, identify, ...rest });
+ * await core.settings.load();
+ * await core.run(signal);
+ */
+export function makeCore(options: CoreOptions): Core {
+  const { table, workers, hosts, connectPeers, clock, random } = options;
+  const { invariants, metrics, logs, identify, endRequests = async () => undefined } = options;
+  const common = { clock, random, invariants, metrics };
+  const settings = makeSettings({ table, invariants, log: logs(Part.Settings) });
+  const writer = makeWriter({
+    ...{ table, clock, random, log: logs(Part.Table) },
+    memberKey: `members/${identify().id}`,
+  });
+
+  // Parts that refer to one another are reached through functions, once all are made.
+  const parts: {
+    pool?: Pool;
+    lookups?: Lookups;
+    choice?: PeerChoice;
+    handOver?: () => Promise<void>;
+  } = {};
+  const peers = connectPeers((member, room) => parts.choice?.onRoom(member, room));
+  const membership = makeMembership({
+    ...{ lane: writer, table, peers, settings, clock, random, identify },
+    log: logs(Part.Membership),
+    handOver: async () => parts.handOver?.(),
+  });
+  const limits = makeLimits({
+    ...{ writer, table, settings, clock, invariants },
+    member: () => ({ id: membership.id(), members: membership.view().members.length }),
+    log: logs(Part.Limits),
+  });
+  const hostWatch = watchHosts({ hosts, clock });
+  const ownership = makeOwnership({
+    ...{ writer, table, workers, limits, membership, settings, clock },
+    useOf: makeUse(() => parts.pool as Pool),
+    hostGoneMs: hostWatch.goneMs,
+    log: logs(Part.Ownership),
+  });
+  const { headroom, health, placement } = makePolicyParts(options, () => parts.lookups as Lookups);
+  const pool = makePool({
+    ...common,
+    ...{ workers, placement, limits, membership, settings, ownership },
+    log: logs(Part.Dispatch),
+    onAttempt({ worker, job, ok, runMs, kind }) {
+      if (kind === 'lookup') headroom.finished(runMs);
+      health.record({ worker, job, failed: !ok, now: clock.now() });
+    },
+    penalty: (worker) => health.penalty(worker, clock.now()),
+  });
+  const choice = makePeerChoice({ clock, random, membership });
+  const requests: Requests = {
+    claim: async () => Right({ verdict: 'first' }),
+    withdraw: () => undefined,
+    finished: () => undefined,
+    witness: () => Right({ verdict: 'first' }),
+    dump: () => ({}),
+  };
+  const lookups = makeLookups({
+    ...common,
+    ...{ pool, peers, peerChoice: choice, requests, membership, settings, limits },
+    log: logs(Part.Dispatch),
+  });
+  Object.assign(parts, { pool, lookups, choice });
+  parts.handOver = async () => {
+    await endRequests();
+    while (lookups.open() > 0) await clock.sleep(drainPollMs);
+    await ownership.handOver();
+  };
+  const notYet = async () => refuse(Kind.TableUnavailable, 'jobs are not served yet');
+  const dispatch: Dispatch = {
+    lookup: lookups.lookup,
+    submit: notYet,
+    job: notYet,
+    result: notYet,
+    cancel: notYet,
+    jobs: () => [],
+    explain: () => undefined,
+  };
+  const core: Core = {
+    ...{ table, settings, membership, ownership, limits, writer, pool, peers, lookups, requests },
+    dispatch,
+    handlers: makeHandlers(() => core),
+    gate: makeGate(membership),
+    async run(signal) {
+      await Promise.all([
+        membership.run(signal),
+        ownership.run(signal),
+        limits.run(signal),
+        hostWatch.run(signal),
+      ]);
+    },
+    dump: () => dumpCore(core, { clock, invariants, choice }),
+  };
+  return core;
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,236 @@
+/**
+ * One entry process: real clients and servers around the core.
+ */
+import { randomBytes } from 'node:crypto';
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+import { Left, Right } from 'purify-ts';
+
+import { makeCallers } from '../callers/mod.ts';
+import type { Clock, Random } from '../clock/mod.ts';
+import { Kind, failure } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
+import { hostDialects } from '../hosts/mod.ts';
+import type { HttpInterface } from '../http/mod.ts';
+import { makeInvariants } from '../invariants/mod.ts';
+import type { Invariants, ViolationObserver } from '../invariants/mod.ts';
+import { makeVerifier } from '../keys/mod.ts';
+import type { Verifier } from '../keys/mod.ts';
+import { Part } from '../logs/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import { makeMetrics } from '../metrics/mod.ts';
+import type { Metrics } from '../metrics/mod.ts';
+import { objectDialects } from '../objects/mod.ts';
+import { makeOperators } from '../operators/mod.ts';
+import { makePeerClients, makePeerHandler, peerKeepAliveMs } from '../peers/mod.ts';
+import type { EntrySettings } from '../settings/mod.ts';
+import { changeLimit } from '../limits/mod.ts';
+import { tableDialects } from '../table/mod.ts';
+import { workerDialects } from '../workers/mod.ts';
+import { makeCore } from './core.ts';
+import type { Core } from './core.ts';
+
+/** What an entry process is made of. */
+export interface EntryOptions {
+  settings: EntrySettings;
+  clock: Clock;
+  random: Random;
+  logs: (part: Part) => Log;
+  /** Called on each violated invariant, after it was counted and logged. */
+  onViolation?: ViolationObserver;
+}
+
+/** A running entry process. */
+export interface Entry {
+  /** Binds the ports, loads the settings and joins; fails when a port is taken. */
+  start(): Outcome<Record<'callers' | 'operators' | 'peers', number>>;
+  /** Ends open requests, hands everything over and leaves. */
+  drain(): Promise<void>;
+  dump(): Record<string, unknown>;
+}
+
+// The balancer needs this time to see that the process is not ready any more.
+const readinessDelayMs = 1_000;
+const loadRetryMs = 500;
+
+function listenForPeers(
+  server: Server,
+  { address, port }: { address: string; port: number },
+): Outcome<number> {
+  return new Promise((resolve) => {
+    server.once('error', (error) =>
+      resolve(
+        Left(
+          failure(Kind.Internal, `peers: cannot listen on ${address}:${port}: ${error.message}`, {
+            expected: 'a free port on an address of this host',
+          }),
+        ),
+      ),
+    );
+    server.listen(port, address, () => resolve(Right((server.address() as AddressInfo).port)));
+  });
+}
+
+interface Shared {
+  options: EntryOptions;
+  invariants: Invariants;
+  metrics: Metrics;
+  verifier: Verifier;
+  core: Core;
+  isLeaving: () => boolean;
+}
+
+function makeCallersInterface({ options, core, ...shared }: Shared): HttpInterface {
+  const { callers } = options.settings;
+  return makeCallers({
+    ...{ address: callers.address, port: callers.port, clock: options.clock },
+    ...{ invariants: shared.invariants, metrics: shared.metrics, verifier: shared.verifier },
+    bounds: {
+      maxBodyBytes: callers.max_body_bytes,
+      maxHeaderBytes: callers.max_header_bytes,
+      maxConnections: callers.max_connections,
+      maxWaitingRequests: callers.max_waiting_requests,
+    },
+    dispatch: core.dispatch,
+    gate: core.gate,
+    fleet: core.settings.current,
+    log: options.logs(Part.Callers),
+  });
+}
+
+function makeOperatorsInterface({ options, core, ...shared }: Shared): HttpInterface {
+  const { operators } = options.settings;
+  const { settings, membership, writer } = core;
+  const { invariants, metrics, verifier, isLeaving } = shared;
+  return makeOperators({
+    ...{ address: operators.address, port: operators.port, clock: options.clock },
+    ...{ invariants, metrics, verifier, dispatch: core.dispatch, dump: core.dump },
+    parts: {
+      ...{ settings, membership, writer, table: core.table, clock: options.clock },
+      reallot: (current, limit) => changeLimit(current ?? { limit: 0, held: {} }, limit),
+    },
+    gate: () =>
+      isLeaving() ? Left(failure(Kind.Draining, 'this process is shutting down')) : core.gate(),
+    members: () =>
+      membership
+        .view()
+        .members.map(({ id }) => id)
+        .filter((id) => id !== membership.id()),
+    async status(id, section) {
+      const member = membership.view().members.find((other) => other.id === id);
+      if (!member) return Left(failure(Kind.NotFound, 'there is no such member', { got: id }));
+      return core.peers(member).status(section === undefined ? {} : { section });
+    },
+    log: options.logs(Part.Operators),
+  });
+}
+
+async function loadSettings({ core, options }: Shared, signal: AbortSignal): Promise<void> {
+  const log = options.logs(Part.Settings);
+  const { address, port } = options.settings.table;
+  for (;;) {
+    const loaded = await core.settings.load();
+    if (loaded.isRight() || signal.aborted) return;
+    const { message } = loaded.extract() as Failure;
+    log.warn('The settings could not be loaded; retrying.', {
+      table: `${address}:${port}`,
+      message,
+    });
+    await options.clock.sleep(loadRetryMs * (1 + options.random()), signal);
+  }
+}
+
+/**
+ * Makes an entry process.
+ *
+ * @example
+ * const entry = makeEntry({ settings, clock: systemClock, random: Math.random, logs });
+ * await entry.start();
+ */
+export function makeEntry(options: EntryOptions): Entry {
+  const { settings, clock, random, logs, onViolation = () => undefined } = options;
+  const log = logs(Part.Entry);
+  const { name, data_centre: dataCentre, region } = settings.process;
+  const metrics = makeMetrics({
+    ...{ host: settings.metrics.address, port: settings.metrics.port },
+    process: name,
+  });
+  const invariants = makeInvariants({
+    onViolation(invariant, detail) {
+      metrics.count('invariant.violated', 1, { invariant });
+      log.error('An invariant was violated.', { invariant, detail });
+      onViolation(invariant, detail);
+    },
+  });
+  const table = tableDialects['http-json']({ ...settings.table, clock });
+  const workers = workerDialects['http-json']({ clock, invariants });
+  const objects = objectDialects.http({ ...settings.objects, clock });
+  const hosts = settings.hosts.address
+    ? hostDialects['http-json']({ ...settings.hosts, clock })
+    : undefined;
+  const closers: (() => Promise<unknown>)[] = [table.close, workers.close, objects.close];
+  const stop = new AbortController();
+  let peersPort = settings.peers.port;
+  let leaving = false;
+  let running: Promise<void> = Promise.resolve();
+  let callers: HttpInterface | undefined;
+
+  const core = makeCore({
+    ...{ table, workers, objects, clock, random, invariants, metrics, logs },
+    ...(hosts ? { hosts } : {}),
+    connectPeers(onRoom) {
+      const clients = makePeerClients({ clock, onRoom });
+      closers.push(clients.close);
+      return clients.peers;
+    },
+    identify: () => ({
+      id: `${name}-${randomBytes(4).toString('hex')}`,
+      ...{ address: settings.peers.address, port: peersPort, dataCentre, region },
+    }),
+    endRequests: async () => callers?.drain(),
+  });
+  const verifier = makeVerifier({ fleet: core.settings.current });
+  const shared = { options, invariants, metrics, verifier, core, isLeaving: () => leaving };
+  callers = makeCallersInterface(shared);
+  const operators = makeOperatorsInterface(shared);
+  const peerServer = createServer(
+    { keepAliveTimeout: peerKeepAliveMs },
+    makePeerHandler(core.handlers, { room: core.pool.freeSlots }),
+  );
+
+  return {
+    async start() {
+      const peers = await listenForPeers(peerServer, settings.peers);
+      if (peers.isLeft()) return peers;
+      peersPort = peers.unsafeCoerce();
+      const opened = [await operators.listen(), await callers.listen()];
+      for (const one of opened) if (one.isLeft()) return one;
+      const [operatorsPort = 0, callersPort = 0] = opened.map((one) => one.unsafeCoerce().port);
+      running = loadSettings(shared, stop.signal)
+        .then(() => core.run(stop.signal))
+        .catch((error: unknown) => log.error('A part has stopped.', { error: String(error) }));
+      const ports = { callers: callersPort, operators: operatorsPort, peers: peersPort };
+      log.info('The process has started.', ports);
+      return Right(ports);
+    },
+    async drain() {
+      if (leaving) return;
+      leaving = true;
+      log.info('The process is draining.');
+      await clock.sleep(readinessDelayMs);
+      await core.membership.drain();
+      stop.abort();
+      await running;
+      core.pool.close();
+      await operators.drain();
+      peerServer.close();
+      peerServer.closeAllConnections();
+      await Promise.all(closers.map((close) => close()));
+      metrics.close();
+      log.info('The process has left.');
+    },
+    dump: () => ({ ...core.dump(), callers: callers?.state(), operators: operators.state() }),
+  };
+}
--- /dev/null
+++ b/src/entry/mod.ts
@@ -0,0 +1,5 @@
+/**
+ * One entry process: the module that wires its parts.
+ */
+export * from './core.ts';
+export * from './entry.ts';
--- a/src/pool/_room.ts
+++ b/src/pool/_room.ts
@@ -145,7 +145,7 @@
   const { task, attempt, job, team, kind } = held;
   if (ended.state !== 'stopped') {
     const runMs = ended.runMs ?? Math.max(0, clock.now() - held.startedAt);
-    onAttempt?.({ worker: entry.upstream.id, ok: ended.state === 'finished', runMs, kind });
+    onAttempt?.({ worker: entry.upstream.id, job, ok: ended.state === 'finished', runMs, kind });
   }
   if (kind === 'lookup') {
     if (ended.state !== 'lost') entry.acknowledged.add(task);
--- a/src/pool/_starts.ts
+++ b/src/pool/_starts.ts
@@ -115,9 +115,9 @@
   const { ownership, onAttempt } = state.parts;
   if (isNotRun(failed)) {
     freeTask(state, entry, held);
-    const { kind } = held;
+    const { kind, job } = held;
     const atFault = failed.kind === Kind.WorkerRefused || failed.kind === Kind.WorkerUnreachable;
-    if (atFault) onAttempt?.({ worker: entry.upstream.id, ok: false, runMs: 0, kind });
+    if (atFault) onAttempt?.({ worker: entry.upstream.id, job, ok: false, runMs: 0, kind });
     if (failed.kind === Kind.EpochStale) ownership.lost(entry.upstream.id);
     return;
   }
--- a/src/pool/_state.ts
+++ b/src/pool/_state.ts
@@ -28,7 +28,13 @@
   log: Log;
   metrics: Metrics;
   /** Called with the outcome of each attempt, for quarantine. */
-  onAttempt?: (outcome: { worker: string; ok: boolean; runMs: number; kind: string }) => void;
+  onAttempt?: (outcome: {
+    worker: string;
+    job: string;
+    ok: boolean;
+    runMs: number;
+    kind: string;
+  }) => void;
   /** Quarantine level of a worker. */
   penalty?: (worker: string) => number;
 }
