Leave answered lookups out of the worker's renewals

A worker listed every lookup that ended while a renewal was held open, although its owner had the answer already. At 66 lookups a second on one worker that would be 660 tasks in an answer every 10 s.

The stand-in now lists a lookup only when it ended before the renewal arrived and was not acknowledged by it.

--- a/src/standins/_worker_state.ts
+++ b/src/standins/_worker_state.ts
@@ -55,6 +55,7 @@
   state: TaskState;
   record: StartRecord;
   ended: AbortController;
+  endedAt?: number;
   result?: unknown;
   message?: string;
 }
@@ -143,12 +144,17 @@
     acknowledged.forEach((task) => {
       if (this.tasks.get(task)?.ended.signal.aborted) this.tasks.delete(task);
     });
-    const until = this.options.clock.now() + leaseMs;
-    this.tasks.forEach((held) => Object.assign(held, { leaseUntil: until }));
+    const arrivedAt = this.options.clock.now();
+    const leaseUntil = arrivedAt + leaseMs;
+    this.tasks.forEach((held) => Object.assign(held, { leaseUntil }));
     if (waitMs > 0 && !this.hasNews()) await this.waitForNews(waitMs);
     if (epoch < this.epoch) return this.staleEpoch(epoch);
     this.toldLeaving = this.faults.leaving;
-    const changed = [...this.tasks.values()].filter(({ state }) => state !== 'running');
+    // The owner has the answer of a lookup that ended later, and acknowledges it with its next renewal.
+    const changed = [...this.tasks.values()].filter(
+      ({ state, request: { kind }, endedAt = 0 }) =>
+        state !== 'running' && (kind !== 'lookup' || endedAt < arrivedAt),
+    );
     return {
       changed: changed.map((held) => this.describe(held)),
       leaving: this.faults.leaving,
@@ -203,19 +209,15 @@
 
   private checkStart({ task, attempt, notAfterMs, size }: StartRequest): Refusal | undefined {
     const now = this.clockMs();
-    const { leaving } = this.faults;
+    const { capacity } = this.options;
     const refused = (message: string) => refuseWith(Kind.WorkerRefused, message);
     if (now > notAfterMs) return refused(`start came ${Math.ceil(now - notAfterMs)} ms too late`);
     if (attempt <= (this.attempts.get(task) ?? 0)) return refused(`attempt ${attempt} was seen`);
-    if (leaving) return refused('worker is leaving');
-    const short = dimensions.find((name) => this.used(name) + size[name] > this.capacity(name));
+    if (this.faults.leaving) return refused('worker is leaving');
+    const short = dimensions.find((name) => this.used(name) + size[name] > capacity[name]);
     return short ? refused(`not enough ${short}`) : undefined;
   }
 
-  private capacity(name: keyof Size): number {
-    return this.options.capacity[name];
-  }
-
   private used(name: keyof Size): number {
     let sum = 0;
     this.tasks.forEach(({ request, ended }) => {
@@ -249,8 +251,10 @@
 
   private end(held: Held, state: TaskState, message?: string): void {
     if (held.ended.signal.aborted) return;
-    Object.assign(held, { state, message: message ?? (state === 'failed' ? 'failed' : undefined) });
-    Object.assign(held.record, { state, endedAt: this.options.clock.wall() });
+    const { clock } = this.options;
+    const reason = message ?? (state === 'failed' ? 'failed' : undefined);
+    Object.assign(held, { state, message: reason, endedAt: clock.now() });
+    Object.assign(held.record, { state, endedAt: clock.wall() });
     held.ended.abort();
     // The end of a lookup is in its own answer and wakes nobody.
     if (held.request.kind !== 'lookup') this.notify();
--- a/src/standins/worker_state_test.ts
+++ b/src/standins/worker_state_test.ts
@@ -56,6 +56,19 @@
   assert.is((done as RenewAnswer).changed.length, 0);
 });
 
+test('answered lookups that are listed in every renewal would exceed the control budget', async () => {
+  const { clock, model, job } = setUp();
+  const renewals = [0, 1].map(async (expected) => {
+    await clock.sleep(expected * 200);
+    const held = model.renew({ epoch: 1, leaseMs: 1_000, waitMs: 100 });
+    const task = `l${expected}`;
+    assert.ok(model.start(job(task, { kind: 'lookup', body: { runMs: 5 } })) instanceof Promise);
+    assert.is(((await held) as RenewAnswer).changed.length, expected);
+  });
+  await clock.advance(500);
+  await Promise.all(renewals);
+});
+
 test('a renewal of a former owner that is held open would keep its tasks alive', async () => {
   const { clock, model } = setUp();
   const held = model.renew({ epoch: 0, leaseMs: 1_000, waitMs: 10_000 });
