--- a/src/errors/failure.ts
+++ b/src/errors/failure.ts
@@ -14,6 +14,7 @@
   // Requests that are wrong in themselves.
   MalformedRequest: 'malformed-request',
   BodyTooLarge: 'body-too-large',
+  HeaderTooLarge: 'header-too-large',
   NotFound: 'not-found',
   MethodNotAllowed: 'method-not-allowed',
   KeyMissing: 'key-missing',
@@ -44,6 +45,7 @@
   TableUnavailable: 'table-unavailable',
   TableUnknown: 'table-unknown',
   ObjectUnavailable: 'object-unavailable',
+  HostsUnavailable: 'hosts-unavailable',
   // Work that may have run, or did run.
   OutcomeUnknown: 'outcome-unknown',
   RequestRepeated: 'request-repeated',
--- a/src/standins/mod.ts
+++ b/src/standins/mod.ts
@@ -1,4 +1,8 @@
 /**
  * Stand-ins for the platform's services and for workers, for tests and benchmarks.
  */
-export * from './memory_table.ts';
+export * from './services.ts';
+export * from './worker.ts';
+export { startServer } from './_server.ts';
+export type { Call, Faults, Reply, Standin, StandinOptions } from './_server.ts';
+export type { StartRecord, WorkerFaults } from './_worker_state.ts';
