Reject late renewals in the stand-in, drop ended jobs from memory

Cause: the pool sends notAfterMs with renewals, and the stand-in ignored it; ended jobs stayed in memory for good. Conclusion: a partition that delays a renewal can't make a lost task run on.

--- a/src/dispatch/_job_rows.ts
+++ b/src/dispatch/_job_rows.ts
@@ -50,6 +50,8 @@
 export interface JobRows {
   acquire(partition: number): Promise<void>;
   release(partition: number): void;
+  /** Drops ended jobs from memory; their rows stay and are read on request. */
+  forget(ids: string[]): void;
   /** Loaded partitions. */
   partitions(): number[];
   get(id: string): Job | undefined;
@@ -215,6 +217,10 @@
   return {
     owns,
     read,
+    forget: (ids) =>
+      ids.forEach((id) => {
+        if (entries.get(id)?.pending.length === 0) entries.delete(id);
+      }),
     partitions: () => [...partitions].flatMap(([n, { loaded }]) => (loaded ? [n] : [])),
     get: (id) => (owns(id) ? entries.get(id)?.job : undefined),
     all: () => [...entries.values()].map(({ job }) => job),
--- a/src/dispatch/_upkeep.ts
+++ b/src/dispatch/_upkeep.ts
@@ -16,6 +16,7 @@
 // Without an owner nobody renews the worker's leases: 30 s and 2 s margin, after the 4 s in which a
 // changed setting comes into force everywhere.
 const ownerlessMs = 36_000;
+const keepEndedMs = 3_600_000;
 
 type Stops = Map<string, StopQuestion['tasks']>;
 
@@ -187,6 +188,17 @@
   await sendStops(state, stops, 'checkpoint');
 }
 
+/** Ended jobs would otherwise fill the memory within days. */
+function forgetOld({ rows, clock, reasons }: JobsState): void {
+  const before = clock.wall() - keepEndedMs;
+  const old = rows.all().filter((job) => {
+    const ended = isOver(job) && activeAttempts(job).length === 0;
+    return ended && (job.endedAt ?? 0) < before;
+  });
+  rows.forget(old.map(({ id }) => id));
+  old.forEach(({ id }) => reasons.delete(id));
+}
+
 /** Runs until the dispatcher is closed. */
 export async function keepUp(state: JobsState): Promise<void> {
   const { clock, closed, doubtful, log } = state;
@@ -195,6 +207,7 @@
     round(state);
     if (tick % ticksPerCheck === 0) {
       doubtMoved(state);
+      forgetOld(state);
       const work = async () => {
         await sendStops(state, stopsOf(state), 'stop');
         await Promise.all([...doubtful.keys()].map((task) => resolve(state, task)));
--- a/src/dispatch/jobs.ts
+++ b/src/dispatch/jobs.ts
@@ -95,6 +95,12 @@
 }
 
 async function cancelOwn(state: JobsState, id: string): Outcome<Job> {
+  if (state.rows.owns(id) && !state.rows.get(id)) {
+    const ended = await state.rows.read(id);
+    return ended.chain((job) =>
+      job ? Right(job) : Left(failure(Kind.NotFound, `there is no job ${id}`)),
+    );
+  }
   const done = await state.rows.update(id, (job) => recordCancel(job, state.clock.wall()));
   return done.ifRight((job) => {
     state.waiting.remove(id);
--- a/src/standins/_worker_state.ts
+++ b/src/standins/_worker_state.ts
@@ -139,8 +139,11 @@
   }
 
   async renew(request: RenewRequest): Promise<RenewAnswer | Refusal> {
-    const { epoch, leaseMs, acknowledged = [], waitMs = 0 } = request;
+    const { epoch, leaseMs, acknowledged = [], waitMs = 0, notAfterMs = Infinity } = request;
     if (epoch < this.epoch) return this.staleEpoch(epoch);
+    if (this.clockMs() > notAfterMs) {
+      return refuseWith(Kind.WorkerRefused, 'the renewal came too late');
+    }
     acknowledged.forEach((task) => {
       if (this.tasks.get(task)?.ended.signal.aborted) this.tasks.delete(task);
     });
--- a/src/standins/worker_state_test.ts
+++ b/src/standins/worker_state_test.ts
@@ -34,6 +34,17 @@
   assert.equal(state(), ['a stopped']);
 });
 
+test('a renewal that was delayed in the network would extend a lease that its owner counts as over', async () => {
+  const { clock, model, job, state } = setUp();
+  assert.ok(model.start(job('a')) instanceof Promise);
+  const { clockMs } = model.list();
+  await clock.advance(900);
+  const late = await model.renew({ epoch: 1, leaseMs: 1_000, notAfterMs: clockMs + 800 });
+  assert.ok('refusal' in late);
+  await clock.advance(101);
+  assert.equal(state(), ['a stopped']);
+});
+
 test('a full worker that accepts a start would be overloaded', () => {
   const { model, job } = setUp();
   assert.ok(model.start(job('a')) instanceof Promise);
