Keep a worker free for work that is about to miss the starvation bound

Cause: light lookups take each freed part of a worker, so a job that needs a whole worker never starts; a placement tried at a peer also lost its turn. Change: after half of the starvation bound the worker that is expected to have room first is closed to all other work, lookups included, until the job has its place. A job keeps its turn while a peer or a gang's holds are asked for. Conclusion: heavy work starts within the bound at the cost of one worker.

--- a/src/dispatch/_job_state.ts
+++ b/src/dispatch/_job_state.ts
@@ -53,6 +53,10 @@
   placing: Set<string>;
   /** Earliest time of the next try of a job. */
   notBefore: Map<string, number>;
+  /** Earliest time of the next try at a peer, or of a gang; the job keeps its turn meanwhile. */
+  remoteAfter: Map<string, number>;
+  /** Job for which a worker is kept free. */
+  kept: { id: string } | undefined;
   /** Refused placements in a row. */
   refusals: Map<string, number>;
   /** Attempts whose state must be asked of the worker's owner, by task. */
--- a/src/dispatch/_placing.ts
+++ b/src/dispatch/_placing.ts
@@ -3,8 +3,7 @@
  */
 import type { Either } from 'purify-ts';
 
-import { Trial, gangRetryMs, planService } from '../decisions/mod.ts';
-import type { WaitingItem } from '../decisions/mod.ts';
+import { gangRetryMs, planService } from '../decisions/mod.ts';
 import { Kind } from '../errors/mod.ts';
 import type { Failure, Outcome } from '../errors/mod.ts';
 import type { Attempt, CommitAnswer, HoldAnswer, Job, Need, Place } from '../schema/mod.ts';
@@ -126,7 +125,8 @@
   }
 }
 
-async function placeAtPeer(state: JobsState, { job, need }: { job: Job; need: Need }) {
+/** Places tasks on the workers of one peer. */
+export async function placeAtPeer(state: JobsState, { job, need }: { job: Job; need: Need }) {
   const { peerChoice, settings, clock, random } = state;
   const member = peerChoice.choose(job.team);
   const hold = newHold(state);
@@ -141,7 +141,7 @@
     if (member) peerChoice.refused(member.id, job.team);
     const reason = answer?.swap().toMaybe().extract()?.message ?? 'no peer has room';
     note(state, job.id, `waits: ${reason}`);
-    state.notBefore.set(job.id, clock.now() + remoteRetryMs * (0.5 + random()));
+    state.remoteAfter.set(job.id, clock.now() + remoteRetryMs * (0.5 + random()));
     return;
   }
   await launch(state, { job, held: [{ member: member.id, hold, places }] });
@@ -192,7 +192,8 @@
   });
 }
 
-async function placeGang(state: JobsState, job: Job): Promise<void> {
+/** Places a gang where all of it fits. */
+export async function placeGang(state: JobsState, job: Job): Promise<void> {
   for (const domain of gangDomains(state, job)) {
     const held = await holdGang(state, { job, domain });
     if (held) {
@@ -203,7 +204,7 @@
   }
   const refusals = (state.refusals.get(job.id) ?? 0) + 1;
   state.refusals.set(job.id, refusals);
-  state.notBefore.set(job.id, state.clock.now() + gangRetryMs(refusals, state.random));
+  state.remoteAfter.set(job.id, state.clock.now() + gangRetryMs(refusals, state.random));
   note(state, job.id, `waits: no room for all ${job.tasks} tasks at once`);
 }
 
@@ -215,42 +216,3 @@
   const { avoidRacks = [], avoidDataCentres = [] } = step ?? {};
   return { ...need, avoidRacks, avoidDataCentres };
 }
-
-/** One try of a waiting job; the asynchronous part goes on by itself. */
-function tryItem(state: JobsState, item: WaitingItem): Trial {
-  const job = state.rows.get(item.id);
-  if (!job || state.placing.has(item.id)) return Trial.Placed;
-  const run = (work: () => Promise<void>) => {
-    placed(state, { id: item.id, work }).catch((error: unknown) =>
-      state.log.error('A placement failed.', { job: item.id, error: String(error) }),
-    );
-    return Trial.Placed;
-  };
-  if (item.gang) return run(() => placeGang(state, job));
-  const need = spreadNeed(state, job);
-  const hold = newHold(state);
-  const { version } = state.settings.current();
-  const own = state.holds.hold({
-    ...{ hold, job: job.id, need, count: item.count, settings: version },
-  });
-  const places = own.toMaybe().extract()?.places;
-  if (places) {
-    const member = state.membership.id();
-    return run(() => launch(state, { job, held: [{ member, hold, places }] }));
-  }
-  const failed = own.swap().unsafeCoerce();
-  if (failed.kind === Kind.TeamLimit)
-    state.limits.want(job.team, item.count).catch(() => undefined);
-  if (state.peerChoice.choose(job.team)) return run(() => placeAtPeer(state, { job, need }));
-  note(state, job.id, `waits: ${failed.message}`);
-  return failed.kind === Kind.TeamLimit ? Trial.TeamHeld : Trial.NoRoom;
-}
-
-/** One round over the waiting work. */
-export function round(state: JobsState): void {
-  const { waiting, clock, usage, membership } = state;
-  if (!membership.isFresh()) return;
-  waiting
-    .round({ now: clock.now(), usage, place: (item) => tryItem(state, item) })
-    .forEach(({ id }) => state.placing.has(id) && waiting.remove(id));
-}
--- a/src/dispatch/_upkeep.ts
+++ b/src/dispatch/_upkeep.ts
@@ -9,7 +9,8 @@
 import { activeAttempts, taskId, waitingTasks } from './_job_model.ts';
 import { holderOf, note, replicasOf, schedule } from './_job_state.ts';
 import type { JobsState } from './_job_state.ts';
-import { launch, newHold, placed, round, spreadNeed } from './_placing.ts';
+import { launch, newHold, placed, spreadNeed } from './_placing.ts';
+import { round } from './_rounds.ts';
 
 const tickMs = 250;
 const ticksPerCheck = 4;
@@ -189,7 +190,7 @@
 }
 
 /** Ended jobs would otherwise fill the memory within days. */
-function forgetOld({ rows, clock, reasons }: JobsState): void {
+function forgetOld({ rows, clock, reasons, remoteAfter }: JobsState): void {
   const before = clock.wall() - keepEndedMs;
   const old = rows.all().filter((job) => {
     const ended = isOver(job) && activeAttempts(job).length === 0;
@@ -197,6 +198,9 @@
   });
   rows.forget(old.map(({ id }) => id));
   old.forEach(({ id }) => reasons.delete(id));
+  remoteAfter.forEach((at, id) => {
+    if (at < clock.now()) remoteAfter.delete(id);
+  });
 }
 
 /** Runs until the dispatcher is closed. */
--- a/src/dispatch/jobs.ts
+++ b/src/dispatch/jobs.ts
@@ -15,7 +15,7 @@
 import { makeJobRows, partitionOf } from './_job_rows.ts';
 import { memberOf, note, schedule } from './_job_state.ts';
 import type { JobParts, JobsState } from './_job_state.ts';
-import { round } from './_placing.ts';
+import { round } from './_rounds.ts';
 import { keepUp } from './_upkeep.ts';
 import type { Caller, Explanation } from './dispatch.ts';
 
@@ -148,6 +148,8 @@
     holds: makeHolds(parts),
     placing: new Set(),
     notBefore: new Map(),
+    remoteAfter: new Map(),
+    kept: undefined,
     refusals: new Map(),
     doubtful: new Map(),
     seenOwner: new Map(),
--- a/src/dispatch/jobs_test.ts
+++ b/src/dispatch/jobs_test.ts
@@ -2,94 +2,13 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { makeRandom, makeVirtualClock, pickIndex } from '../clock/mod.ts';
+import { makeRandom, pickIndex } from '../clock/mod.ts';
 import { Kind } from '../errors/mod.ts';
 import type { JobRequest } from '../schema/mod.ts';
-import { fakeTeam, fakeUpstream, makeFakeSettings } from '../testing/fake_fleet.ts';
-import { fakeMember, makeFakeProcess } from '../testing/fake_process.ts';
-import type { FakeProcess } from '../testing/fake_process.ts';
-import { makeFakeTable } from '../testing/fake_table.ts';
-import { makeFakeWorkers } from '../testing/fake_workers.ts';
-import { makeArrivalOrder } from '../testing/first_fit.ts';
-import { makeJobs } from './mod.ts';
-import type { Jobs } from './mod.ts';
-
-const caller = { team: 'a', queue: 'main' };
-
-async function setUp({ units = [16, 16], seed = 3 } = {}) {
-  const clock = makeVirtualClock();
-  const random = makeRandom(seed);
-  const workers = makeFakeWorkers({ clock });
-  const upstreams = units.flatMap((_, i) =>
-    ['a', 'b'].map((name) => fakeUpstream(`w${i}${name}`, { dataCentre: `dc${i}`, rack: `r${i}` })),
-  );
-  const settings = makeFakeSettings({ upstreams, teams: [fakeTeam('a', 100)] });
-  const members = units.map((_, i) => fakeMember(`m${i}`));
-  const store = makeFakeTable({ clock, random });
-  const shared = { clock, workers, settings, members, handlers: new Map(), random };
-  const ownerOfWorker = (worker: string) => `m${worker[1]}`;
-  const ownerOfPartition = (partition: number) => `m${partition % units.length}`;
-  const processes: (FakeProcess & { jobs: Jobs })[] = [];
-  for (let i = 0; i < units.length; i++) {
-    const own = upstreams.slice(2 * i, 2 * i + 2);
-    const one = await makeFakeProcess(shared, {
-      id: `m${i}`,
-      upstreams: own,
-      units: { a: units[i] ?? 0 },
-    });
-    const partitions = Array.from({ length: 64 }, (_, n) => n).filter(
-      (n) => n % units.length === i,
-    );
-    partitions.forEach((n) => store.put(`partitions/${n}`, { epoch: 1, owner: `m${i}` }));
-    const jobs = makeJobs({
-      ...one,
-      ...store,
-      ownership: {
-        ...{ ownerOfWorker, ownerOfPartition, workers: () => [] },
-        partitions: () => partitions,
-        subscribe: one.ownership.subscribe,
-      },
-      waiting: makeArrivalOrder(),
-      usage: { dominantShare: () => 0, weight: () => 1 },
-    });
-    shared.handlers.set(`m${i}`, { ...shared.handlers.get(`m${i}`), ...jobs.handlers });
-    processes.push({ ...one, jobs });
-  }
-  await clock.advance(100);
-  const [first] = processes;
-  if (!first) throw new Error('no process');
-  const run = async <T>(outcome: Promise<T>, ms = 100): Promise<T> => {
-    await clock.advance(ms);
-    return outcome;
-  };
-  const submit = async (request: JobRequest, requestId?: string) =>
-    run(first.jobs.submit({ ...caller, ...(requestId ? { request: requestId } : {}) }, request));
-  const job = async (id: string) => (await run(first.jobs.job('a', id))).unsafeCoerce();
-  const running = () =>
-    upstreams.flatMap(({ id }) => workers.running(id).map((task) => ({ ...task, worker: id })));
-  const endAll = (state?: 'finished' | 'failed') =>
-    running().forEach(({ worker, task }) => workers.end(worker, task, state));
-  const close = () => processes.forEach(({ pool, jobs }) => [pool.close(), jobs.close()]);
-  const used = () => processes.map(({ limits }) => limits.used('a'));
-  return {
-    clock,
-    random,
-    workers,
-    settings,
-    store,
-    processes,
-    first,
-    submit,
-    job,
-    running,
-    endAll,
-    close,
-    used,
-  };
-}
+import { makeFakeJobs } from '../testing/fake_jobs.ts';
 
 test('a repeat of the request id that makes a second job would run the batch twice', async () => {
-  const { submit, job, running, endAll, clock, close, used } = await setUp();
+  const { submit, job, running, endAll, clock, close, used } = await makeFakeJobs();
   const one = await submit({ kind: 'batch', tasks: 20 }, 'q');
   const two = await submit({ kind: 'batch', tasks: 20 }, 'q');
   const { id } = one.unsafeCoerce();
@@ -106,7 +25,7 @@
 });
 
 test('an attempt that fails must be retried later with a growing number, and then end the job', async () => {
-  const { submit, job, endAll, clock, workers, close } = await setUp();
+  const { submit, job, endAll, clock, workers, close } = await makeFakeJobs();
   const { id } = (await submit({ kind: 'batch', maxAttempts: 3 })).unsafeCoerce();
   for (let i = 0; i < 3; i++) {
     endAll('failed');
@@ -128,7 +47,7 @@
 });
 
 test('a start without an answer that is started again would run a task twice', async () => {
-  const { submit, job, clock, workers, close, running, endAll } = await setUp();
+  const { submit, job, clock, workers, close, running, endAll } = await makeFakeJobs();
   workers.faults.w0a = { loseStart: 'answer' };
   const { id } = (await submit({ kind: 'batch', body: 'x' })).unsafeCoerce();
   await clock.advance(20_000);
@@ -141,7 +60,7 @@
 });
 
 test('a gang of which only a part runs would hold room for nothing', async () => {
-  const { submit, job, clock, close, running, endAll, used, first } = await setUp({
+  const { submit, job, clock, close, running, endAll, used, first } = await makeFakeJobs({
     units: [16, 6],
   });
   const small = (await submit({ kind: 'batch', tasks: 4 })).unsafeCoerce();
@@ -159,7 +78,7 @@
 });
 
 test('a cancelled job whose tasks go on, or that starts again, would waste the fleet', async () => {
-  const { submit, clock, close, running, processes, used } = await setUp();
+  const { submit, clock, close, running, processes, used } = await makeFakeJobs();
   const ids: string[] = [];
   for (let i = 0; i < 4; i++)
     ids.push((await submit({ kind: 'batch', tasks: 3 })).unsafeCoerce().id);
@@ -178,7 +97,7 @@
 });
 
 test('a service must be replaced when lost, and move by surge before stop', async () => {
-  const { submit, clock, close, running, settings, workers, endAll } = await setUp();
+  const { submit, clock, close, running, settings, workers, endAll } = await makeFakeJobs();
   const { id } = (await submit({ kind: 'service', tasks: 2 })).unsafeCoerce();
   await clock.advance(1_000);
   endAll('failed');
@@ -203,7 +122,7 @@
 });
 
 test('tasks that can checkpoint must leave a data centre that goes out of service', async () => {
-  const { submit, clock, close, running, settings } = await setUp();
+  const { submit, clock, close, running, settings } = await makeFakeJobs();
   (
     await submit({ kind: 'batch', tasks: 4, checkpoint: true, estimateMs: 9_000_000 })
   ).unsafeCoerce();
@@ -221,7 +140,7 @@
 });
 
 test('jobs that can never run must be refused with the reason', async () => {
-  const { submit, close } = await setUp();
+  const { submit, close } = await makeFakeJobs();
   const kind = async (request: JobRequest) => (await submit(request)).swap().unsafeCoerce().kind;
   assert.is(await kind({ kind: 'batch', size: { processors: 99 } }), Kind.SizeInfeasible);
   assert.is(await kind({ kind: 'gang', tasks: 33 }), Kind.SizeInfeasible);
@@ -230,7 +149,7 @@
 });
 
 test('a large result must come back whole', async () => {
-  const { submit, clock, close, store, first, running, endAll } = await setUp();
+  const { submit, clock, close, store, first, running, endAll } = await makeFakeJobs();
   const { id } = (await submit({ kind: 'batch' })).unsafeCoerce();
   const [task] = running();
   const result = 'x'.repeat(100_000);
@@ -251,7 +170,7 @@
 test('under random faults every job must end once, without a task in two places', async () => {
   await fc.assert(
     fc.asyncProperty(fc.integer(), async (seed) => {
-      const fixture = await setUp({ seed, units: [16, 16, 16] });
+      const fixture = await makeFakeJobs({ seed, units: [16, 16, 16], policy: true });
       const { clock, workers, store, submit, job, running, close, used } = fixture;
       const random = makeRandom(seed);
       const ids: string[] = [];
--- a/src/pool/_room.ts
+++ b/src/pool/_room.ts
@@ -41,7 +41,7 @@
     outstanding,
     latencyMs,
     penalty: state.parts.penalty?.(upstream.id) ?? 0,
-    open: closedReason(state, entry) === undefined,
+    open: state.keptFree !== upstream.id && closedReason(state, entry) === undefined,
   });
 }
 
--- a/src/pool/_starts.ts
+++ b/src/pool/_starts.ts
@@ -70,6 +70,7 @@
     worker: entry.upstream.id,
     size: need.size,
     startedAt: state.parts.clock.now(),
+    estimateMs: need.estimateMs,
     state: 'starting',
   };
   entry.tasks.set(held.task, held);
--- a/src/pool/_state.ts
+++ b/src/pool/_state.ts
@@ -87,6 +87,8 @@
   endedObservers: ((ended: Ended[]) => void)[];
   roomObservers: (() => void)[];
   nextId: () => string;
+  /** Worker that is kept free for waiting work. */
+  keptFree: string | undefined;
   closed: AbortController;
 }
 
--- a/src/pool/make_pool.ts
+++ b/src/pool/make_pool.ts
@@ -70,6 +70,24 @@
   return { units, starting };
 }
 
+function keepFree(state: PoolState, worker: string | undefined): void {
+  const before = state.keptFree;
+  if (before === worker) return;
+  Object.assign(state, { keptFree: worker });
+  [before, worker].forEach((id) => {
+    const entry = id === undefined ? undefined : state.entries.get(id);
+    if (entry) publish(state, entry);
+  });
+}
+
+function openWorkers({ entries }: PoolState) {
+  return [...entries.values()]
+    .filter(({ reachable, leaving }) => reachable && !leaving)
+    .map(({ upstream, capacity, tasks }) => ({
+      ...{ id: upstream.id, capacity, tasks: [...tasks.values()] },
+    }));
+}
+
 function freeSlots(state: PoolState): number {
   let free = 0;
   state.entries.forEach((entry) => {
@@ -137,6 +155,7 @@
       sequence += 1;
       return `r${sequence}`;
     },
+    keptFree: undefined,
     closed: new AbortController(),
   };
   connect(state);
@@ -150,6 +169,8 @@
     onEnded: (observer) => state.endedObservers.push(observer),
     acknowledge: (tasks) => acknowledge(state, tasks),
     onRoom: (observer) => state.roomObservers.push(observer),
+    workers: () => openWorkers(state),
+    keepFree: (worker) => keepFree(state, worker),
     freeSlots: () => freeSlots(state),
     use: (worker) => use(state, worker),
     dump: () => ({
--- a/src/pool/pool.ts
+++ b/src/pool/pool.ts
@@ -32,6 +32,8 @@
   worker: string;
   size: Size;
   startedAt: number;
+  /** Declared run time; absent for tasks that were found on an acquired worker. */
+  estimateMs?: number;
   state: 'starting' | 'running' | 'stopping';
 }
 
@@ -63,6 +65,10 @@
   acknowledge(tasks: string[]): void;
   /** Calls the observer when room or a unit of a team's limit may have become free. */
   onRoom(observer: () => void): void;
+  /** Workers that accept work, with their tasks. */
+  workers(): { id: string; capacity: Size; tasks: PooledTask[] }[];
+  /** Closes one worker for all new work, until called again; the owner of the call may open it. */
+  keepFree(worker: string | undefined): void;
   /** Free slots on the workers that accept work. */
   freeSlots(): number;
   /** Units of each team in use on a worker, and whether the outcome of a start is open. */
--- a/src/testing/fake_process.ts
+++ b/src/testing/fake_process.ts
@@ -6,6 +6,7 @@
 
 import { makeRandom } from '../clock/mod.ts';
 import type { Random, VirtualClock } from '../clock/mod.ts';
+import type { PlacementIndex } from '../decisions/mod.ts';
 import { makeLookups, makePeerChoice } from '../dispatch/mod.ts';
 import { Kind, refuse } from '../errors/mod.ts';
 import { makeInvariants, throwOnViolation } from '../invariants/mod.ts';
@@ -81,10 +82,12 @@
     upstreams: Upstream[];
     units: Record<string, number>;
     requests?: Requests;
+    placement?: PlacementIndex;
   },
 ) {
   const { clock, workers, settings, members, handlers, random = makeRandom(3) } = shared;
   const { id, upstreams, units, requests = firstRequests } = options;
+  const { placement = makeFirstFit() } = options;
   const limits = makeFakeLimits(units);
   const ownership = makeFakeOwnership();
   const invariants = makeInvariants({ onViolation: throwOnViolation });
@@ -106,7 +109,7 @@
     metrics: silentMetrics,
   };
   const log = silentLog;
-  const pool = makePool({ ...common, log, workers, placement: makeFirstFit(), ownership });
+  const pool = makePool({ ...common, log, workers, placement, ownership });
   const peers = connectPeers(shared);
   const peerChoice = makePeerChoice({ clock, random, membership });
   const lookups = makeLookups({ ...common, log, pool, peers, peerChoice, requests });
