Wire jobs, request ids and team shares into the entry process

Cause: jobs and repeated request ids were refused, and waiting work knew no team's use of the fleet. Change: core wires jobs, witnesses and a task that keeps the shared row 'usage' (its own row, because head is read with each heartbeat).

--- a/src/decisions/share_digest.ts
+++ b/src/decisions/share_digest.ts
@@ -47,6 +47,8 @@
   setOwn(team: string, share: number): void;
   /** The record with this process's part brought up to date; written with the next transaction. */
   contribute(record: DigestRecord | undefined, versions: Versions): DigestRecord;
+  /** Undoes the last contribution, whose record was not written. */
+  retract(): void;
   /** Takes over a record that was read or written. */
   observe(record: DigestRecord): void;
   /** Dominant share over the fleet, as far as known. */
@@ -75,6 +77,7 @@
   const own = new Array<number>(names.length).fill(0);
   let given = new Array<number>(names.length).fill(0);
   let givenFor = '';
+  let earlier = { given, givenFor };
   let others = new Array<number>(names.length).fill(0);
   const versionOf = ({ membership, settings }: { membership: number; settings: number }) =>
     `${membership} ${settings}`;
@@ -104,6 +107,7 @@
       const sums = decode(current.units, names.length);
       const next = own.map((share) => Math.round(share * fleetUnits));
       const units = sums.map((sum, i) => sum - (before[i] ?? 0) + (next[i] ?? 0));
+      earlier = { given, givenFor };
       given = next;
       givenFor = versionOf(versions);
       const result = {
@@ -115,6 +119,9 @@
       observe(result, expectedMembers);
       return result;
     },
+    retract() {
+      ({ given, givenFor } = earlier);
+    },
     observe: (record) => observe(record, expectedMembers),
     dominantShare(team) {
       const i = position.get(team);
--- a/src/entry/_dump.ts
+++ b/src/entry/_dump.ts
@@ -20,7 +20,7 @@
   core: Core,
   { clock, invariants, choice }: { clock: Clock; invariants: Invariants; choice: PeerChoice },
 ): Record<string, unknown> {
-  const { membership, settings, ownership, pool, lookups, requests } = core;
+  const { membership, settings, ownership, pool, lookups, requests, jobs } = core;
   return {
     member: { id: membership.id(), phase: membership.phase(), view: membership.view() },
     fresh: { now: clock.now(), until: membership.freshUntil() },
@@ -33,6 +33,7 @@
     pool: pool.dump(),
     lookups: lookups.dump(),
     requests: requests.dump(),
+    jobs: jobs.dump(),
     peers: choice.dump(),
     invariants: invariants.counts(),
   };
--- a/src/entry/_handlers.ts
+++ b/src/entry/_handlers.ts
@@ -20,16 +20,6 @@
   return Object.hasOwn(dump, section) ? Right(dump[section]) : unknownSection(section);
 }
 
-const notYet = async () => refuse(Kind.PeerUnavailable, 'jobs are not served yet');
-const noJobs = {
-  hold: notYet,
-  commit: notYet,
-  release: notYet,
-  stop: notYet,
-  ended: notYet,
-  attempt: notYet,
-};
-
 /** Makes the handlers; the core is complete by the time that a peer asks. */
 export function makeHandlers(core: () => Core): Peer {
   return {
@@ -37,7 +27,12 @@
     changes: async ({ after }) => Right(core().settings.after(after)),
     lookup: (question, options) => core().lookups.handed(question, options),
     witness: async (question) => core().requests.witness(question),
-    ...noJobs,
+    hold: (question) => core().jobs.handlers.hold(question),
+    commit: (question) => core().jobs.handlers.commit(question),
+    release: (question) => core().jobs.handlers.release(question),
+    stop: (question) => core().jobs.handlers.stop(question),
+    ended: (question) => core().jobs.handlers.ended(question),
+    attempt: (question) => core().jobs.handlers.attempt(question),
     status: async ({ section }) =>
       section === undefined ? Right(core().dump()) : sectionOf(core(), section),
   };
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -6,9 +6,14 @@
 import type { Either } from 'purify-ts';
 
 import type { Clock, Random } from '../clock/mod.ts';
-import { makeLookupHeadroom, makePlacementIndex, makeWorkerHealth } from '../decisions/mod.ts';
-import { makeLookups, makePeerChoice } from '../dispatch/mod.ts';
-import type { Dispatch, Lookups, PeerChoice } from '../dispatch/mod.ts';
+import {
+  makeLookupHeadroom,
+  makePlacementIndex,
+  makeWaitingWork,
+  makeWorkerHealth,
+} from '../decisions/mod.ts';
+import { makeDispatch, makeJobs, makeLookups, makePeerChoice } from '../dispatch/mod.ts';
+import type { Dispatch, Jobs, Lookups, PeerChoice } from '../dispatch/mod.ts';
 import { Kind, refuse } from '../errors/mod.ts';
 import type { Failure } from '../errors/mod.ts';
 import type { Hosts } from '../hosts/mod.ts';
@@ -22,8 +27,9 @@
 import type { Metrics } from '../metrics/mod.ts';
 import type { Objects } from '../objects/mod.ts';
 import { makeOwnership } from '../ownership/mod.ts';
-import type { OwnershipTask, WorkerUse } from '../ownership/mod.ts';
+import type { OwnershipTask } from '../ownership/mod.ts';
 import type { Peer, Peers } from '../peers/mod.ts';
+import { makeRequests } from '../requests/mod.ts';
 import type { Requests } from '../requests/mod.ts';
 import { makePool } from '../pool/mod.ts';
 import type { Pool } from '../pool/mod.ts';
@@ -35,6 +41,7 @@
 import { dumpCore } from './_dump.ts';
 import { makeHandlers } from './_handlers.ts';
 import { watchHosts } from './_host_watch.ts';
+import { makeShares } from './_shares.ts';
 
 /** The outside of a process. */
 export interface CoreOptions {
@@ -67,6 +74,7 @@
   peers: Peers;
   lookups: Lookups;
   requests: Requests;
+  jobs: Jobs;
   dispatch: Dispatch;
   /** What peers are answered. */
   handlers: Peer;
@@ -90,21 +98,6 @@
   };
 }
 
-function makeUse(pool: () => Pool) {
-  return (worker: string): WorkerUse => {
-    const units: Record<string, number> = {};
-    let starting = false;
-    pool()
-      .tasks()
-      .filter((task) => task.worker === worker)
-      .forEach(({ team, state }) => {
-        units[team] = (units[team] ?? 0) + 1;
-        starting ||= state === 'starting';
-      });
-    return { units, starting };
-  };
-}
-
 function makePolicyParts(options: CoreOptions, lookups: () => Lookups) {
   const { clock, random } = options;
   const headroom = makeLookupHeadroom();
@@ -125,7 +118,7 @@
  * await core.run(signal);
  */
 export function makeCore(options: CoreOptions): Core {
-  const { table, workers, hosts, connectPeers, clock, random } = options;
+  const { table, workers, objects, hosts, connectPeers, clock, random } = options;
   const { invariants, metrics, logs, identify, endRequests = async () => undefined } = options;
   const common = { clock, random, invariants, metrics };
   const settings = makeSettings({ table, invariants, log: logs(Part.Settings) });
@@ -155,7 +148,7 @@
   const hostWatch = watchHosts({ hosts, clock });
   const ownership = makeOwnership({
     ...{ writer, table, workers, limits, membership, settings, clock },
-    useOf: makeUse(() => parts.pool as Pool),
+    useOf: (worker) => (parts.pool as Pool).use(worker),
     hostGoneMs: hostWatch.goneMs,
     log: logs(Part.Ownership),
   });
@@ -171,13 +164,7 @@
     penalty: (worker) => health.penalty(worker, clock.now()),
   });
   const choice = makePeerChoice({ clock, random, membership });
-  const requests: Requests = {
-    claim: async () => Right({ verdict: 'first' }),
-    withdraw: () => undefined,
-    finished: () => undefined,
-    witness: () => Right({ verdict: 'first' }),
-    dump: () => ({}),
-  };
+  const requests = makeRequests({ clock, peers, membership });
   const lookups = makeLookups({
     ...common,
     ...{ pool, peers, peerChoice: choice, requests, membership, settings, limits },
@@ -189,18 +176,31 @@
     while (lookups.open() > 0) await clock.sleep(drainPollMs);
     await ownership.handOver();
   };
-  const notYet = async () => refuse(Kind.TableUnavailable, 'jobs are not served yet');
-  const dispatch: Dispatch = {
-    lookup: lookups.lookup,
-    submit: notYet,
-    job: notYet,
-    result: notYet,
-    cancel: notYet,
-    jobs: () => [],
-    explain: () => undefined,
-  };
+  const shares = makeShares({ pool, settings, membership, table, writer, clock, random });
+  const jobs = makeJobs({
+    ...common,
+    ...{ peers, peerChoice: choice, table, writer, objects, membership, settings, limits },
+    ...{ ownership, usage: shares.usage, log: logs(Part.Dispatch) },
+    pool: { ...pool, reserve: (need) => pool.reserve(need).ifRight(() => shares.reserved(need)) },
+    waiting: makeWaitingWork({
+      starvationBoundMs: settings.current().policy.starvationBoundMs,
+    }),
+  });
+  const dispatch = makeDispatch({ lookups, jobs });
   const core: Core = {
-    ...{ table, settings, membership, ownership, limits, writer, pool, peers, lookups, requests },
+    ...{
+      table,
+      settings,
+      membership,
+      ownership,
+      limits,
+      writer,
+      pool,
+      peers,
+      lookups,
+      requests,
+      jobs,
+    },
     dispatch,
     handlers: makeHandlers(() => core),
     gate: makeGate(membership),
@@ -210,6 +210,7 @@
         ownership.run(signal),
         limits.run(signal),
         hostWatch.run(signal),
+        shares.run(signal),
       ]);
     },
     dump: () => dumpCore(core, { clock, invariants, choice }),
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -223,6 +223,7 @@
       await core.membership.drain();
       stop.abort();
       await running;
+      core.jobs.close();
       core.pool.close();
       await operators.drain();
       peerServer.close();
--- a/src/schema/_generated/types.ts
+++ b/src/schema/_generated/types.ts
@@ -402,14 +402,11 @@
   files: string[];
 }
 /**
- * Row `head`: newest versions, and the share digest (running tasks per team).
+ * Row `head`: newest versions of settings and membership.
  */
 export interface Head {
   settings: number;
   membership: number;
-  usage?: {
-    [k: string]: number;
-  };
 }
 /**
  * Row `members/{id}`: one entry process.
@@ -508,6 +505,15 @@
     [k: string]: Allotment;
   };
 }
+/**
+ * Row `usage`: what each team uses of the fleet, two characters a team.
+ */
+export interface ShareRecord {
+  membership: number;
+  settings: number;
+  parts: number;
+  units: string;
+}
 /**
  * An operator, who may read and change all settings. At least one must exist.
  */
