Borrow units of a team for held places that find none

Cause: a gang's holds failed with team-limit in each process and nothing asked for units, so a gang of four waited for ever with three units per process. Change: a hold that finds too few units asks for them; the next try finds them.

--- a/src/deployment/deployment.ts
+++ b/src/deployment/deployment.ts
@@ -172,9 +172,11 @@
     });
     return (await answer.json()) as Record<string, unknown>;
   };
+  /** Workers that a process owns; none before it has the first settings. */
   const ownedBy = async (entry: EntryProcess) => {
     const { ownership } = (await state(entry)) as { ownership?: { workers: unknown[] } };
-    return ownership?.workers.length ?? 0;
+    if (!ownership) throw new Error(`${entry.name} does not know the operator key yet`);
+    return ownership.workers.length;
   };
   const isReady = async (entry: EntryProcess) => (await fetch(`${entry.operators}/readyz`)).ok;
   const settled: Deployment['settled'] = async ({ timeoutMs = settleTimeoutMs } = {}) => {
--- a/src/dispatch/_holds.ts
+++ b/src/dispatch/_holds.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '../clock/mod.ts';
 import { Kind, failure, isNotRun } from '../errors/mod.ts';
 import type { Failure, Outcome } from '../errors/mod.ts';
+import type { Limits } from '../limits/mod.ts';
 import type { Peer } from '../peers/mod.ts';
 import type { Pool, Reservation } from '../pool/mod.ts';
 import type {
@@ -38,15 +39,16 @@
  * Makes the holds of a process.
  *
  * @example
- * const holds = makeHolds({ clock, pool, settings });
+ * const holds = makeHolds({ clock, pool, settings, limits });
  * holds.hold({ hold: 'h1', job: 'j1', need, count: 2, settings: 4 });
  */
 export function makeHolds(options: {
   clock: Clock;
   pool: Pool;
   settings: Pick<Settings, 'current'>;
+  limits: Pick<Limits, 'want'>;
 }): Holds {
-  const { clock, pool, settings } = options;
+  const { clock, pool, settings, limits } = options;
   const holds = new Map<string, Held>();
 
   const end = (hold: string) => {
@@ -99,6 +101,10 @@
         if (reservations.length >= count) break;
         next = pool.reserve(need);
       }
+      // The caller asks again; the units are borrowed by then.
+      if (next.isLeft() && next.extract().kind === Kind.TeamLimit) {
+        limits.want(need.team, count - reservations.length).catch(() => undefined);
+      }
       if (reservations.length === 0) return next.map(() => ({ hold, places: [] }));
       const held: Held = { job, reservations, end: new AbortController() };
       holds.set(hold, held);
