--- a/src/standins/services_test.ts
+++ b/src/standins/services_test.ts
@@ -4,9 +4,10 @@
 import { systemClock } from '../clock/mod.ts';
 import { Kind } from '../errors/mod.ts';
 import type { Failure } from '../errors/mod.ts';
+import { makeConnections } from '../exchange/mod.ts';
 import { hostDialects } from '../hosts/mod.ts';
 import { objectDialects } from '../objects/mod.ts';
-import { startHosts, startObjects } from './mod.ts';
+import { startHosts, startObjects, startWorker } from './mod.ts';
 
 const clock = systemClock;
 
@@ -35,4 +36,33 @@
   await Promise.all([client.close(), close()]);
 });
 
+test('a fault that cannot be switched from another process would not be tested there', async () => {
+  const worker = await startWorker({ clock, id: 'w1' });
+  const { address, port } = worker;
+  const link = makeConnections({ address, port, clock, connections: 2 });
+  const post = async (path: string, value: object) => {
+    const body = JSON.stringify(value);
+    const answer = await link.exchange({ method: 'POST', path, body, timeoutMs: 2_000 });
+    return answer.map(({ status }) => status).extract();
+  };
+  assert.is(await post('/_control', { fail: true }), 200);
+  assert.is(await post('/fence', { owner: 'm1', epoch: 1 }), 500);
+  assert.is(await post('/_control', { fail: false, leaving: true }), 200);
+  assert.is(await post('/fence', { owner: 'm1', epoch: 1 }), 200);
+  const held = post('/renew', { epoch: 1, leaseMs: 1_000, waitMs: 1_500 });
+  assert.is(await held, 200, 'the change to leaving ends the wait');
+  const cut = post('/renew', { epoch: 1, leaseMs: 1_000, waitMs: 1_500 });
+  assert.is(await post('/_control', { crash: true, refuseMs: 100 }), 200);
+  assert.equal((await cut) && typeof (await cut), 'object', 'a crash cuts open exchanges');
+  // The client may see the end of its other connection a little later.
+  await clock.sleep(20);
+  assert.equal(await post('/fence', { owner: 'm1', epoch: 2 }), {
+    sent: false,
+    message: `connect ECONNREFUSED ${address}:${port}`,
+  });
+  await clock.sleep(150);
+  assert.is(await post('/fence', { owner: 'm1', epoch: 2 }), 200);
+  await Promise.all([link.close(), worker.close()]);
+});
+
 test.run();
--- a/src/table/writer_test.ts
+++ b/src/table/writer_test.ts
@@ -159,6 +159,38 @@
   assert.equal(table.state.read([memberKey]), [{ key: memberKey, version: 0 }]);
 });
 
+test('a leave whose answer was lost would keep the process from joining again', async () => {
+  const { clock, table, writer, value, expelled } = await setUp();
+  table.faults.lose = 1;
+  const left = writer.leave();
+  await clock.advance(1_000);
+  assert.is(kindOf(await left), Kind.TableUnknown);
+  assert.is(value(memberKey), undefined);
+  assert.is(expelled(), 0);
+  const again = writer.join({ id: 'm2' }, { memberKey: 'members/m2' });
+  await clock.advance(10);
+  assert.ok((await again).isRight());
+});
+
+test('a join that lands after its caller gave up would write under two member ids', async () => {
+  const clock = makeVirtualClock();
+  const table = makeMemoryTable({ clock });
+  const writer = makeWriter({ table, clock, random: makeRandom(1), memberKey });
+  table.faults.slowMs = 1_000;
+  const late = writer.join({ id: 'm1' }, { timeoutMs: 500 });
+  await clock.advance(550);
+  assert.is(kindOf(await late), Kind.TableUnknown);
+  table.faults.slowMs = 0;
+  const again = writer.join({ id: 'm2' }, { memberKey: 'members/m2' });
+  await clock.advance(3_000);
+  assert.ok((await again).isRight());
+  assert.is(writer.memberRow()?.key, 'members/m2');
+  const commit = writer.commit({ writes: [{ key: 'a', value: 1 }] });
+  await clock.advance(10);
+  assert.ok((await commit).isRight());
+  assert.is((table.state.read([memberKey])[0]?.value as { sequence: number }).sequence, 1);
+});
+
 test('retries without a bound would be a storm at the end of an outage', async () => {
   const { clock, table, writer, transactions } = await setUp();
   table.faults.refuse = true;
