Keep the usage text out of listen errors of dogwood-standin

A port in use printed the whole usage text before the error. Ports from 46000 upward were in use by outbound connections; consecutive ports have to be below the range that the system gives out (32768 and above).

--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -30,7 +30,7 @@
   .scriptName('dogwood-standin')
   .options({
     address: { type: 'string', default: '127.0.0.1', describe: 'Address to listen on' },
-    port: { type: 'number', default: 0, describe: 'Port to listen on; 0 takes a free one' },
+    port: { type: 'number', default: 0, describe: 'Port; 0 takes a free one' },
   })
   .command('table', 'Runs a table service', {}, async ({ address, port }) => {
     serve('table', [await startTable({ clock, address: String(address), port: Number(port) })]);
@@ -70,6 +70,7 @@
       serve('worker', standins);
     },
   )
+  .showHelpOnFail(false)
   .demandCommand(1)
   .strict()
   .parseAsync();
