--- a/src/dispatch/jobs.ts
+++ b/src/dispatch/jobs.ts
@@ -15,7 +15,7 @@
 import { makeJobRows, partitionOf } from './_job_rows.ts';
 import { memberOf, note, schedule } from './_job_state.ts';
 import type { JobParts, JobsState } from './_job_state.ts';
-import { round } from './_placing.ts';
+import { round } from './_rounds.ts';
 import { keepUp } from './_upkeep.ts';
 import type { Caller, Explanation } from './dispatch.ts';
 
@@ -95,6 +95,12 @@
 }
 
 async function cancelOwn(state: JobsState, id: string): Outcome<Job> {
+  if (state.rows.owns(id) && !state.rows.get(id)) {
+    const ended = await state.rows.read(id);
+    return ended.chain((job) =>
+      job ? Right(job) : Left(failure(Kind.NotFound, `there is no job ${id}`)),
+    );
+  }
   const done = await state.rows.update(id, (job) => recordCancel(job, state.clock.wall()));
   return done.ifRight((job) => {
     state.waiting.remove(id);
@@ -142,6 +148,8 @@
     holds: makeHolds(parts),
     placing: new Set(),
     notBefore: new Map(),
+    remoteAfter: new Map(),
+    kept: undefined,
     refusals: new Map(),
     doubtful: new Map(),
     seenOwner: new Map(),
