Read the owner of a partition again when a report does not reach it

Cause: a hand-over of a partition between two members is not announced, so a third one sent reports of ended tasks and cancellations to the former owner until its rescan, up to 300 s later. Found by the demo: four tasks of a gang stayed 'starting' for 20 s. Ruled out: lost starts (the worker had run all four) and lost reports (the pool repeated them every 5 s to the wrong member). Change: a report, stop or cancellation that fails has the rows read again. Conclusion: news of owners is pulled where it is missed.

--- a/src/dispatch/_ending.ts
+++ b/src/dispatch/_ending.ts
@@ -106,7 +106,10 @@
           ? await recordEnded(state, list)
           : await memberOf(state, owner)?.ended({ ended: list });
       // Tasks that were not recorded are reported again by the pool.
-      answer?.ifRight(({ recorded }) => pool.acknowledge(recorded));
+      const recorded = answer?.toMaybe().extract()?.recorded ?? [];
+      pool.acknowledge(recorded);
+      const left = list.filter(({ task }) => !recorded.includes(task));
+      ownership.recheck({ partitions: left.map(({ job }) => partitionOf(job)) });
     }),
   );
 }
--- a/src/dispatch/_job_state.ts
+++ b/src/dispatch/_job_state.ts
@@ -36,7 +36,7 @@
   limits: Pick<Limits, 'want'>;
   ownership: Pick<
     Ownership,
-    'subscribe' | 'partitions' | 'ownerOfWorker' | 'ownerOfPartition' | 'workers'
+    'subscribe' | 'partitions' | 'ownerOfWorker' | 'ownerOfPartition' | 'workers' | 'recheck'
   >;
   waiting: WaitingWork;
   usage: Usage;
--- a/src/dispatch/_upkeep.ts
+++ b/src/dispatch/_upkeep.ts
@@ -53,6 +53,7 @@
   const removed = settings.current().upstreams[worker] === undefined;
   Object.assign(doubt, { since: doubt.since ?? clock.now() });
   const ownerless = removed && !holder && clock.now() - (doubt.since ?? Infinity) > ownerlessMs;
+  if (known === 'unknown') ownership.recheck({ workers: [worker] });
   if (known !== 'absent' && !ownerless) return;
   const message = ownerless ? 'the worker was removed' : 'the worker does not run the attempt';
   await recordEnded(state, [
@@ -85,7 +86,9 @@
 ): Promise<void> {
   await Promise.all(
     [...stops].map(async ([owner, tasks]) => {
-      await holderOf(state, owner)?.stop({ tasks, mode });
+      const sent = await holderOf(state, owner)?.stop({ tasks, mode });
+      if (sent?.isRight()) return;
+      state.ownership.recheck({ workers: tasks.map(({ worker }) => worker) });
     }),
   );
 }
--- a/src/dispatch/jobs.ts
+++ b/src/dispatch/jobs.ts
@@ -215,7 +215,9 @@
       if (rows.owns(id)) return cancelOwn(state, id);
       const owner = ownership.ownerOfPartition(partitionOf(id)) ?? '';
       const sent = await remoteCancel(owner, id);
-      return sent.isLeft() ? sent.map((): never => undefined as never) : find(state, { team, id });
+      if (sent.isRight()) return find(state, { team, id });
+      ownership.recheck({ partitions: [partitionOf(id)] });
+      return sent.map((): never => undefined as never);
     },
     jobs: ({ team, state: wanted }) =>
       rows
--- a/src/dispatch/jobs_test.ts
+++ b/src/dispatch/jobs_test.ts
@@ -46,6 +46,16 @@
   close();
 });
 
+test('an end reported to a former owner of the partition must still reach the job', async () => {
+  const { submit, job, endAll, clock, close } = await makeFakeJobs({ staleOwners: true });
+  const { id } = (await submit({ kind: 'batch', tasks: 3 })).unsafeCoerce();
+  await clock.advance(1_000);
+  endAll();
+  await clock.advance(12_000);
+  assert.is((await job(id)).state, 'finished');
+  close();
+});
+
 test('a start without an answer that is started again would run a task twice', async () => {
   const { submit, job, clock, workers, close, running, endAll } = await makeFakeJobs();
   workers.faults.w0a = { loseStart: 'answer' };
--- a/src/ownership/ownership.ts
+++ b/src/ownership/ownership.ts
@@ -34,6 +34,11 @@
   /** The member that owns a worker, as last read. */
   ownerOfWorker(worker: string): string | undefined;
   ownerOfPartition(partition: number): string | undefined;
+  /**
+   * Reads the rows again: what is known of their owners led to a member that does not own them.
+   * A hand-over between two other members is not announced.
+   */
+  recheck(rows: { workers?: string[]; partitions?: number[] }): void;
   /** Tells that a worker answered `epoch-stale`: somebody else has claimed it. */
   lost(worker: string): void;
   subscribe(observer: OwnershipObserver): void;
--- a/src/ownership/task.ts
+++ b/src/ownership/task.ts
@@ -15,7 +15,14 @@
 import { makeWrites } from './_writes.ts';
 import type { OwnershipOptions, OwnershipTask } from './options.ts';
 import type { OwnedWorker, OwnershipObserver } from './ownership.ts';
-import { ownershipRules, planClaims, planHandOvers, unitsOf, workerKey } from './plan.ts';
+import {
+  ownershipRules,
+  partitionKey,
+  planClaims,
+  planHandOvers,
+  unitsOf,
+  workerKey,
+} from './plan.ts';
 import type { ClaimRow, PlannedHandOver } from './plan.ts';
 
 const tickMs = 250;
@@ -244,6 +251,10 @@
       if (entry) park(entry);
       reread.add(workerKey(worker));
     },
+    recheck({ workers: ids = [], partitions: numbers = [] }) {
+      ids.forEach((id) => reread.add(workerKey(id)));
+      numbers.forEach((partition) => reread.add(partitionKey(partition)));
+    },
     subscribe: (observer) => {
       observers.push(observer);
     },
--- a/src/testing/fake_jobs.ts
+++ b/src/testing/fake_jobs.ts
@@ -22,7 +22,12 @@
  * @example
  * const { submit, clock } = await makeFakeJobs({ units: [16, 16] });
  */
-export async function makeFakeJobs({ units = [16, 16], seed = 3, policy = false } = {}) {
+export async function makeFakeJobs({
+  units = [16, 16],
+  seed = 3,
+  policy = false,
+  staleOwners = false,
+} = {}) {
   const clock = makeVirtualClock();
   const random = makeRandom(seed);
   const workers = makeFakeWorkers({ clock });
@@ -34,7 +39,14 @@
   const store = makeFakeTable({ clock, random });
   const shared = { clock, workers, settings, members, handlers: new Map(), random };
   const ownerOfWorker = (worker: string) => `m${worker[1]}`;
-  const ownerOfPartition = (partition: number) => `m${partition % units.length}`;
+  /** Partitions that were read again; before, their owners are those of an earlier view. */
+  const rechecked = new Set<number>();
+  const ownerOfPartition = (partition: number) =>
+    staleOwners && !rechecked.has(partition)
+      ? `m${(partition + 1) % units.length}`
+      : `m${partition % units.length}`;
+  const recheck = ({ partitions = [] }: { partitions?: number[] }) =>
+    partitions.forEach((partition) => rechecked.add(partition));
   const processes: (FakeProcess & { jobs: Jobs })[] = [];
   for (let i = 0; i < units.length; i++) {
     const own = upstreams.slice(2 * i, 2 * i + 2);
@@ -52,7 +64,7 @@
       ...one,
       ...store,
       ownership: {
-        ...{ ownerOfWorker, ownerOfPartition, workers: () => [] },
+        ...{ ownerOfWorker, ownerOfPartition, recheck, workers: () => [] },
         partitions: () => partitions,
         subscribe: one.ownership.subscribe,
       },
