--- a/src/schema/_generated/settings.ts
+++ b/src/schema/_generated/settings.ts
@@ -111,7 +111,7 @@
   "WorkerSection": {
     "dialect": {
       "type": "string",
-      "expected": "a name of a-z, 0-9 and hyphens, at most 63 characters",
+      "expected": "one of http-json",
       "default": "http-json"
     },
     "fencing": {
@@ -295,7 +295,7 @@
   "TableSection": {
     "dialect": {
       "type": "string",
-      "expected": "a name of a-z, 0-9 and hyphens, at most 63 characters",
+      "expected": "one of http-json",
       "default": "http-json"
     },
     "address": {
@@ -310,7 +310,7 @@
   "ObjectsSection": {
     "dialect": {
       "type": "string",
-      "expected": "a name of a-z, 0-9 and hyphens, at most 63 characters",
+      "expected": "one of http-json",
       "default": "http-json"
     },
     "address": {
@@ -325,7 +325,7 @@
   "HostsSection": {
     "dialect": {
       "type": "string",
-      "expected": "a name of a-z, 0-9 and hyphens, at most 63 characters",
+      "expected": "one of http-json",
       "default": "http-json"
     },
     "address": {
--- a/src/schema/_generated/types.ts
+++ b/src/schema/_generated/types.ts
@@ -553,7 +553,7 @@
   /**
    * Dialect of the protocol that workers speak.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Whether workers refuse requests with an old epoch. With `no`, a worker is taken over only after its former owner released it, or was dropped from the host list and 30 s have passed.
    */
@@ -750,7 +750,7 @@
   /**
    * Dialect of the protocol that the service speaks.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Address of the service.
    */
@@ -767,7 +767,7 @@
   /**
    * Dialect of the protocol that the service speaks.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Address of the service.
    */
@@ -784,7 +784,7 @@
   /**
    * Dialect of the protocol that the service speaks.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Address of the service. Empty where the platform has none.
    */
--- a/src/settings/commit.ts
+++ b/src/settings/commit.ts
@@ -103,7 +103,8 @@
   rows: Row[];
 }): { change: Change; mutation: Parameters<Writer['commit']>[0] } {
   const { parts, proposal, next, rows } = options;
-  const [head, ...current] = rows;
+  const head = rows.find(({ key }) => key === 'head');
+  const current = rows.filter(({ key }) => key !== 'head');
   const allotments = Object.fromEntries(
     current.map(({ key, value }) => {
       const team = key.slice('allotments/'.length);
@@ -149,7 +150,8 @@
   const read = await table.read(['head', ...teams.map((team) => `allotments/${team}`)]);
   if (read.isLeft()) return read;
   const rows = read.unsafeCoerce();
-  const version = (rows[0]?.value as Head | undefined)?.settings ?? 0;
+  const head = rows.find(({ key }) => key === 'head');
+  const version = (head?.value as Head | undefined)?.settings ?? 0;
   if (version !== proposal.base) {
     const caught = await settings.catchUp(version);
     if (caught.isLeft()) return caught;
