--- a/src/pool/_room.ts
+++ b/src/pool/_room.ts
@@ -129,6 +129,8 @@
   const now = state.parts.clock.now();
   state.recent.set(held.task, { attempt: held.attempt, at: now });
   giveRoom(state, entry, held.size);
+  // The units of a released worker's tasks have moved to its next owner.
+  if (state.entries.get(entry.upstream.id) !== entry) return;
   state.parts.limits.giveBack(held.team);
   notifyRoom(state);
 }
@@ -145,7 +147,7 @@
   const { task, attempt, job, team, kind } = held;
   if (ended.state !== 'stopped') {
     const runMs = ended.runMs ?? Math.max(0, clock.now() - held.startedAt);
-    onAttempt?.({ worker: entry.upstream.id, ok: ended.state === 'finished', runMs, kind });
+    onAttempt?.({ worker: entry.upstream.id, job, ok: ended.state === 'finished', runMs, kind });
   }
   if (kind === 'lookup') {
     if (ended.state !== 'lost') entry.acknowledged.add(task);
