--- a/src/schema/_generated/types.ts
+++ b/src/schema/_generated/types.ts
@@ -559,7 +559,7 @@
   /**
    * Dialect of the protocol that workers speak.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Whether workers refuse requests with an old epoch. With `no`, a worker is taken over only after its former owner released it, or was dropped from the host list and 30 s have passed.
    */
@@ -756,7 +756,7 @@
   /**
    * Dialect of the protocol that the service speaks.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Address of the service.
    */
@@ -773,7 +773,7 @@
   /**
    * Dialect of the protocol that the service speaks.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Address of the service.
    */
@@ -790,7 +790,7 @@
   /**
    * Dialect of the protocol that the service speaks.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Address of the service. Empty where the platform has none.
    */
