Cancel a job of another member's partition after its hand-over

Cause: a cancellation sent to a former owner was refused with 'not owned', and the caller had to try again. Change: the owner is read again, three tries in all.

--- a/src/dispatch/jobs.ts
+++ b/src/dispatch/jobs.ts
@@ -35,6 +35,9 @@
 
 const roundDelayMs = 5;
 const cancelBatchMs = 20;
+const cancelTries = 3;
+// Rows are read again once a second.
+const recheckMs = 1_200;
 
 async function submit(
   state: JobsState,
@@ -131,6 +134,26 @@
   };
 }
 
+/** Cancels a job of another member's partition; its owner is read again where it has changed. */
+async function cancelElsewhere(
+  state: JobsState,
+  {
+    team,
+    id,
+    send,
+  }: { team: string; id: string; send: (owner: string, id: string) => Outcome<void> },
+): Outcome<Job> {
+  const { ownership, clock } = state;
+  const partition = partitionOf(id);
+  for (let tries = 1; ; tries++) {
+    const sent = await send(ownership.ownerOfPartition(partition) ?? '', id);
+    if (sent.isRight()) return find(state, { team, id });
+    if (tries === cancelTries) return sent.map((): never => undefined as never);
+    ownership.recheck({ partitions: [partition] });
+    await clock.sleep(recheckMs);
+  }
+}
+
 function makeState(parts: JobParts): JobsState {
   const { clock, membership, table, writer, log } = parts;
   let due = false;
@@ -213,11 +236,7 @@
       const found = await find(state, { team, id });
       if (found.isLeft()) return found;
       if (rows.owns(id)) return cancelOwn(state, id);
-      const owner = ownership.ownerOfPartition(partitionOf(id)) ?? '';
-      const sent = await remoteCancel(owner, id);
-      if (sent.isRight()) return find(state, { team, id });
-      ownership.recheck({ partitions: [partitionOf(id)] });
-      return sent.map((): never => undefined as never);
+      return cancelElsewhere(state, { team, id, send: remoteCancel });
     },
     jobs: ({ team, state: wanted }) =>
       rows
