Send a body with every start, leave retries of handed lookups to their sender

Cause: JSON drops an undefined body, so a job or lookup without one was refused as malformed by its peer or worker; and a handed lookup could be retried by both processes. Change: an absent body is sent as null. Only the process that accepted a lookup retries it. In tests, peers get questions as the wire carries them, checked with the generated validators. Conclusion: bodies are optional for callers, as the schema says.

--- a/src/dispatch/_lookup_run.ts
+++ b/src/dispatch/_lookup_run.ts
@@ -93,7 +93,8 @@
   { lookup, tries }: { lookup: Lookup; tries: Tries },
 ): Promise<Either<Failure, LookupAnswer> | undefined> {
   const { clock, peers, peerChoice, settings, runTimeoutMs, metrics } = state;
-  const { id, need, size, idempotent, body, deadlineAt, signal } = lookup;
+  // JSON drops an undefined body, and the message requires one.
+  const { id, need, size, idempotent, body = null, deadlineAt, signal } = lookup;
   const member = peerChoice.choose(need.team, tries.peers);
   if (!member) return undefined;
   tries.peers.add(member.id);
@@ -161,7 +162,9 @@
   const { clock, budget, invariants, metrics } = state;
   const tries: Tries = { sent: 0, workers: [], peers: new Set() };
   let answer = await attempt(state, { lookup, tries });
-  for (let retries = 0; answer.isLeft() && retries < 1; retries++) {
+  // The process that accepted a lookup decides on its one retry.
+  const maxRetries = lookup.handed ? 0 : 1;
+  for (let retries = 0; answer.isLeft() && retries < maxRetries; retries++) {
     const failed = answer.swap().unsafeCoerce();
     if (!isNotRun(failed)) Object.assign(tries, { unknown: failed });
     const inTime = clock.now() < lookup.deadlineAt && !lookup.signal?.aborted;
--- a/src/dispatch/_placing.ts
+++ b/src/dispatch/_placing.ts
@@ -93,7 +93,8 @@
       const mine = attempts.slice(next, next + own.length);
       next += own.length;
       const starts = mine.map(({ task, attempt, worker }) => ({ task, attempt, worker }));
-      const { idempotent, body } = job;
+      // JSON drops an undefined body, and the message requires one.
+      const { idempotent, body = null } = job;
       const answer = await holderOf(state, member)?.commit({
         hold,
         tasks: starts,
--- a/src/pool/_starts.ts
+++ b/src/pool/_starts.ts
@@ -136,7 +136,8 @@
   entry: Entry,
   { need, launch, freshUntil }: { need: Need; launch: Launch; freshUntil: number },
 ): StartRequest {
-  const { task, attempt, job, idempotent, body } = launch;
+  // JSON drops an undefined body, and the message requires one.
+  const { task, attempt, job, idempotent, body = null } = launch;
   return {
     task,
     attempt,
--- a/src/testing/fake_process.ts
+++ b/src/testing/fake_process.ts
@@ -3,6 +3,7 @@
  * peers that are called directly.
  */
 import { Right } from 'purify-ts';
+import * as assert from 'uvu/assert';
 
 import { makeRandom } from '../clock/mod.ts';
 import type { Random, VirtualClock } from '../clock/mod.ts';
@@ -16,6 +17,7 @@
 import type { Peer, Peers } from '../peers/mod.ts';
 import { makePool } from '../pool/mod.ts';
 import type { Requests } from '../requests/mod.ts';
+import { decode, validators } from '../schema/mod.ts';
 import type { Member, Upstream } from '../schema/mod.ts';
 import { makeFakeLimits, makeFakeOwnership } from './fake_fleet.ts';
 import type { FakeSettings } from './fake_fleet.ts';
@@ -55,7 +57,16 @@
   random?: Random;
 }
 
-/** Peers that call the handlers of the other processes. */
+const questions: Partial<Record<keyof Peer, unknown>> = {
+  lookup: validators.validateHandedLookup,
+  hold: validators.validateHoldQuestion,
+  commit: validators.validateCommitQuestion,
+  stop: validators.validateStopQuestion,
+  ended: validators.validateEndedQuestion,
+  attempt: validators.validateAttemptQuestion,
+};
+
+/** Peers that call the handlers of the other processes, with questions as the wire carries them. */
 function connectPeers({ handlers, clock }: SharedFakes): Peers {
   return ({ id }) =>
     new Proxy({} as Peer, {
@@ -64,7 +75,10 @@
         const handle = handlers.get(id)?.[method] as
           ((question: never, options: never) => Promise<unknown>) | undefined;
         if (!handle) return refuse(Kind.PeerUnavailable, `peer ${id} is away`);
-        return handle(question, options);
+        const validator = questions[method];
+        const sent = JSON.parse(JSON.stringify(question)) as never;
+        if (validator) decode(validator, sent).ifLeft(({ message }) => assert.unreachable(message));
+        return handle(sent, options);
       },
     });
 }
