Add all experiments and keep the reserved worker apart from kept room

Cause: large jobs broke the bound of their reservation: the emptied worker's places counted as room kept for lookups, so the oldest job was refused there; lookups and long work without a checkpoint also kept the worker from emptying. Room is refused at the root of one tree over all open workers. New experiments: decide, share, evacuate, starvation, packing, bad-workers, wrong-sizes.

--- a/src/bench/mod.ts
+++ b/src/bench/mod.ts
@@ -2,10 +2,27 @@
  * The experiments of the bench, by name. Experiments that use real processes are added here too.
  */
 import type { Experiment } from './_report.ts';
+import { badWorkers } from './bad-workers.ts';
+import { decide } from './decide.ts';
+import { evacuate } from './evacuate.ts';
+import { packing } from './packing.ts';
+import { share } from './share.ts';
+import { starvation } from './starvation.ts';
 import { waiting } from './waiting.ts';
+import { wrongSizes } from './wrong-sizes.ts';
 
-export type { BenchOptions, Experiment, Report, Series } from './_report.ts';
-export { formatTable } from './_report.ts';
+export type { Experiment, Series, Unit } from './_report.ts';
+export { formatTable, mean, meanOf, quantile } from './_report.ts';
+export { runUnits } from './_units.ts';
 
 /** All experiments. */
-export const experiments: Record<string, Experiment> = { waiting };
+export const experiments: Record<string, Experiment> = {
+  decide,
+  waiting,
+  share,
+  evacuate,
+  starvation,
+  packing,
+  'bad-workers': badWorkers,
+  'wrong-sizes': wrongSizes,
+};
--- a/src/bin/bench.ts
+++ b/src/bin/bench.ts
@@ -8,7 +8,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
 
-import { experiments, formatTable } from '../bench/mod.ts';
+import { experiments, formatTable, runUnits } from '../bench/mod.ts';
 
 const defaultSeeds = 10;
 const defaultFirstSeed = 101;
@@ -40,7 +40,8 @@
 
 const options = { seeds: args.seeds, firstSeed: args.firstSeed, only: args.only };
 const began = performance.now();
-const { series, failures } = await experiment.run(options);
+const series = await runUnits({ name, experiment, ...options });
+const failures = experiment.judge(series);
 const seconds = (performance.now() - began) / 1_000;
 const machine = {
   cpu: os.cpus()[0]?.model ?? 'unknown',
@@ -54,7 +55,7 @@
     `${name}: ${experiment.title}`,
     `commit ${commit}, seeds ${options.firstSeed} to ${options.firstSeed + options.seeds - 1}, ${seconds.toFixed(1)} s`,
     'mean ±standard deviation over seeds (ratio to the first variant)',
-    formatTable(series, experiment.subject),
+    formatTable(series, experiment.variants[0] ?? ''),
     '',
     `fails when ${experiment.failsWhen}`,
     failures.length === 0 ? 'passed' : `FAILED: ${failures.join('; ')}`,
--- a/src/decisions/_placement_index.ts
+++ b/src/decisions/_placement_index.ts
@@ -33,6 +33,11 @@
   /** Places for lookups that heavy work must leave free on the indexed workers. */
   keptForLookups?: () => number;
   lookupSize?: Size;
+  /**
+   * The worker that is being emptied for the oldest work. Its room is not there for lookups, so it
+   * does not count as kept, and the oldest work may take it.
+   */
+  reservedWorker?: () => string | undefined;
 }
 
 interface Search {
@@ -66,6 +71,7 @@
  */
 export function makePlacementIndex(options: PlacementOptions = {}): PlacementIndex {
   const { random, keptForLookups = () => 0, lookupSize = defaultLookupSize } = options;
+  const { reservedWorker = () => undefined } = options;
   const candidates = new Map<string, { candidate: Candidate; places: number }>();
   const all = makeShard();
   const byCentre = new Map<string, Shard>();
@@ -98,8 +104,11 @@
   const keepsRoom = (candidate: Candidate, size: Size) => {
     const kept = keptForLookups();
     if (kept <= 0) return true;
+    const reserved = reservedWorker();
+    if (candidate.id === reserved) return true;
+    const reservedPlaces = reserved === undefined ? 0 : (candidates.get(reserved)?.places ?? 0);
     const after = { ...candidate, used: plus(candidate.used, size) };
-    return lookupPlaces - (placesOf(candidate) - placesOf(after)) >= kept;
+    return lookupPlaces - reservedPlaces - (placesOf(candidate) - placesOf(after)) >= kept;
   };
 
   const shardsFor = ({ onlyDataCentres }: Need) => {
--- a/src/decisions/_room_tree.ts
+++ b/src/decisions/_room_tree.ts
@@ -25,6 +25,8 @@
    * that visits ran out.
    */
   search(query: RoomQuery, visit: (leaf: number) => boolean): boolean;
+  /** False when no leaf can hold the need. */
+  admits(need: readonly number[]): boolean;
   /** Largest free room of a resource over all leaves; -1 when there is no leaf. */
   largest(dimension: number): number;
 }
@@ -113,6 +115,7 @@
       }
       return true;
     },
+    admits: (need) => admits(1, need),
     largest: (dimension) => room[dimensions + dimension] ?? absent,
   };
 }
--- a/src/decisions/_shard.ts
+++ b/src/decisions/_shard.ts
@@ -57,6 +57,8 @@
   let fitTrees: RoomTree[] = [];
   let delayTrees: RoomTree[] = [];
   let capacities = makeRoomTree(firstLeaves);
+  // All open workers; refuses what no worker has room for without a look at the levels.
+  let openRoom = makeRoomTree(firstLeaves);
 
   const attach = (entry: Entry) => {
     const { candidate, leaf } = entry;
@@ -67,10 +69,14 @@
     if (entry.fitTree !== fitTree) fitTrees[entry.fitTree]?.clear(leaf);
     if (entry.delayTree !== delayTree) delayTrees[entry.delayTree]?.clear(leaf);
     Object.assign(entry, { fitTree, delayTree });
-    if (closed) return;
+    if (closed) {
+      openRoom.clear(leaf);
+      return;
+    }
     const free = toVector(plus(candidate.capacity, candidate.used, -1));
     fitTrees[fitTree]?.set(leaf, free);
     delayTrees[delayTree]?.set(leaf, free);
+    openRoom.set(leaf, free);
   };
 
   const grow = () => {
@@ -80,6 +86,7 @@
     fitTrees = makeTrees();
     delayTrees = makeTrees();
     capacities = makeRoomTree(leaves);
+    openRoom = makeRoomTree(leaves);
     byLeaf = Array.from({ length: leaves }, (_, leaf) => byLeaf[leaf]);
     freeLeaves = Array.from({ length: added }, (_, i) => leaves - 1 - i);
     entries.forEach((entry) => {
@@ -115,6 +122,7 @@
       fitTrees[entry.fitTree]?.clear(entry.leaf);
       delayTrees[entry.delayTree]?.clear(entry.leaf);
       capacities.clear(entry.leaf);
+      openRoom.clear(entry.leaf);
       byLeaf[entry.leaf] = undefined;
       freeLeaves.push(entry.leaf);
       entries.delete(worker);
@@ -126,6 +134,7 @@
         const entry = byLeaf[leaf];
         return entry !== undefined && visitor.visit(entry.candidate);
       };
+      if (!openRoom.admits(query.need)) return true;
       let complete = true;
       const count = levels * (groups - firstGroup);
       for (let i = 0; i < count && !visitor.accepted(); i++) {
@@ -144,7 +153,6 @@
         return entry !== undefined && visit(entry.candidate);
       });
     },
-    largest: (dimension) =>
-      fitTrees.reduce((most, tree) => Math.max(most, tree.largest(dimension)), none),
+    largest: (dimension) => openRoom.largest(dimension),
   };
 }
--- a/src/decisions/_waiting_work.ts
+++ b/src/decisions/_waiting_work.ts
@@ -58,7 +58,7 @@
   const {
     starvationBoundMs = tenMinutesMs,
     lengthPenalty = 0,
-    maxFailuresPerTeam = 16,
+    maxFailuresPerTeam = 4,
     checkBound = () => undefined,
   } = options;
   const items = new Map<string, Waiting>();
--- a/src/decisions/worker_health.ts
+++ b/src/decisions/worker_health.ts
@@ -54,6 +54,15 @@
   };
 }
 
+function decay(record: HealthRecord, now: number): HealthRecord {
+  const factor = 0.5 ** (Math.max(0, now - record.at) / halfLifeMs);
+  return Object.assign(record, {
+    runs: record.runs * factor,
+    failures: record.failures * factor,
+    at: Math.max(now, record.at),
+  });
+}
+
 /**
  * Makes the health record of a process.
  *
@@ -63,16 +72,20 @@
  */
 export function makeWorkerHealth(): WorkerHealth {
   const workers = new Map<string, HealthRecord>();
+  const everQuarantined = new Set<string>();
+  const totals = makeRecord(0);
   const jobs = new Map<string, { blamed: Map<string, number>; succeeded: boolean }>();
 
   const at = (worker: string, now: number) => {
     const record = workers.get(worker) ?? makeRecord(now);
     workers.set(worker, record);
-    const factor = 0.5 ** (Math.max(0, now - record.at) / halfLifeMs);
-    record.runs *= factor;
-    record.failures *= factor;
-    record.at = Math.max(now, record.at);
-    return record;
+    return decay(record, now);
+  };
+
+  const addFailures = (record: HealthRecord, count: number) => {
+    const before = record.failures;
+    Object.assign(record, { failures: Math.max(0, before + count) });
+    totals.failures += record.failures - before;
   };
 
   const jobRecord = (job: string) => {
@@ -92,7 +105,7 @@
     if (!failed) {
       // Success elsewhere shows that earlier failures were the workers' own.
       known.blamed.forEach((weight, other) => {
-        if (other !== worker) at(other, now).failures += 1 - weight;
+        if (other !== worker) addFailures(at(other, now), 1 - weight);
         known.blamed.set(other, 1);
       });
       known.succeeded = true;
@@ -100,13 +113,12 @@
     }
     const others = [...known.blamed.keys()].filter((other) => other !== worker);
     if (known.succeeded || others.length === 0) {
-      record.failures += 1;
+      addFailures(record, 1);
       known.blamed.set(worker, 1);
       return;
     }
     others.forEach((other) => {
-      const otherRecord = at(other, now);
-      otherRecord.failures = Math.max(0, otherRecord.failures - (known.blamed.get(other) ?? 0));
+      addFailures(at(other, now), -(known.blamed.get(other) ?? 0));
       known.blamed.set(other, 0);
     });
     known.blamed.set(worker, 0);
@@ -116,22 +128,26 @@
   const isQuarantined = (record: HealthRecord, now: number) =>
     now < record.quarantinedUntil || isProbing(record, now);
 
-  // Deviations by which the worker fails more often than its peers do.
+  // Deviations by which the worker fails more often than its peers do. Exponential decay is linear,
+  // so the totals decay like the single records.
   const excess = (worker: string, now: number) => {
     const own = at(worker, now);
-    let runs = 0;
-    let failures = 0;
-    workers.forEach((record, other) => {
-      if (other === worker || record.quarantines > 0) return;
-      runs += record.runs;
-      failures += record.failures;
+    let runs = decay(totals, now).runs - own.runs;
+    let failures = totals.failures - own.failures;
+    everQuarantined.forEach((other) => {
+      if (other === worker) return;
+      const record = at(other, now);
+      runs -= record.runs;
+      failures -= record.failures;
     });
-    const rate = Math.min(0.9, (failures + 0.5) / (runs + 10));
+    const rate = Math.min(0.9, (Math.max(0, failures) + 0.5) / (Math.max(0, runs) + 10));
     const spread = Math.sqrt(own.runs * rate * (1 - rate) + 1);
     return (own.failures - own.runs * rate) / spread;
   };
 
-  const quarantine = (record: HealthRecord, now: number) => {
+  const quarantine = (worker: string, now: number) => {
+    const record = at(worker, now);
+    everQuarantined.add(worker);
     const length = Math.min(maxQuarantineMs, firstQuarantineMs * 2 ** record.quarantines);
     Object.assign(record, {
       quarantinedUntil: now + length,
@@ -150,10 +166,11 @@
       const { worker, failed, now } = outcome;
       const record = at(worker, now);
       record.runs += 1;
+      decay(totals, now).runs += 1;
       blame(outcome);
       if (isProbing(record, now)) {
         if (failed) {
-          quarantine(record, now);
+          quarantine(worker, now);
         } else {
           // A passed probe forgets most failures, so that the next ones decide.
           Object.assign(record, {
@@ -167,10 +184,11 @@
       }
       if (!failed) {
         if (record.quarantines > 0 && record.runs > 20) record.quarantines -= 1;
+        if (record.quarantines === 0) everQuarantined.delete(worker);
         return;
       }
       if (now >= record.quarantinedUntil && excess(worker, now) > 3 && roomForQuarantine(now)) {
-        quarantine(record, now);
+        quarantine(worker, now);
       }
     },
     penalty(worker, now) {
