Add experiments with real processes to the bench

Cause: takeover, outage, settings and control cost need real sockets and processes. Change: four experiments over src/deployment with sizes as flags; a process reports its processor time, memory and socket traffic in the state dump; one stand-in process serves up to 100 workers.

--- a/src/bench/_report.ts
+++ b/src/bench/_report.ts
@@ -26,6 +26,10 @@
   deployments: string[];
   /** Units that measure time run one after another. */
   serial?: boolean;
+  /** Deployments are sizes of real processes such as `30x8`, which `--sizes` replaces. */
+  sized?: boolean;
+  /** Number of seeds where none is asked for. */
+  seeds?: number;
   measure(unit: Unit): Record<string, number> | Promise<Record<string, number>>;
   /** Conditions that are broken; empty when the experiment passed. */
   judge(series: Series[]): string[];
--- a/src/bench/mod.ts
+++ b/src/bench/mod.ts
@@ -3,11 +3,15 @@
  */
 import type { Experiment } from './_report.ts';
 import { badWorkers } from './bad-workers.ts';
+import { controlCost } from './control-cost.ts';
 import { decide } from './decide.ts';
 import { evacuate } from './evacuate.ts';
+import { outage } from './outage.ts';
 import { packing } from './packing.ts';
+import { settings } from './settings.ts';
 import { share } from './share.ts';
 import { starvation } from './starvation.ts';
+import { takeover } from './takeover.ts';
 import { waiting } from './waiting.ts';
 import { wrongSizes } from './wrong-sizes.ts';
 
@@ -25,4 +29,8 @@
   packing,
   'bad-workers': badWorkers,
   'wrong-sizes': wrongSizes,
+  takeover,
+  outage,
+  settings,
+  'control-cost': controlCost,
 };
--- a/src/bin/bench.ts
+++ b/src/bin/bench.ts
@@ -24,22 +24,29 @@
 
 const args = await yargs(hideBin(process.argv))
   .usage('bench NAME')
-  .option('seeds', { type: 'number', default: defaultSeeds, describe: 'number of seeds' })
+  .option('seeds', { type: 'number', describe: `number of seeds; ${defaultSeeds} for most` })
   .option('first-seed', { type: 'number', default: defaultFirstSeed })
   .option('only', { type: 'string', describe: 'only this deployment' })
+  .option('sizes', { type: 'string', describe: 'WORKERSxPROCESSES, separated by commas' })
   .option('out', { type: 'string', default: 'bench-results' })
   .demandCommand(1, `name an experiment: ${Object.keys(experiments).join(', ')}`)
   .strict()
   .parse();
 
 const name = String(args._[0]);
-const experiment = experiments[name];
-if (!experiment) {
+const found = experiments[name];
+if (!found) {
   const known = Object.keys(experiments).join(', ');
   throw new Error(`experiment "${name}" does not exist; expected one of ${known}`);
 }
 
-const options = { seeds: args.seeds, firstSeed: args.firstSeed, only: args.only };
+if (args.sizes && !found.sized) throw new Error(`experiment "${name}" has no sizes`);
+const experiment = args.sizes ? { ...found, deployments: args.sizes.split(',') } : found;
+const options = {
+  seeds: args.seeds ?? found.seeds ?? defaultSeeds,
+  firstSeed: args.firstSeed,
+  only: args.only,
+};
 const began = performance.now();
 const series = await runUnits({ name, experiment, ...options });
 const failures = experiment.judge(series);
--- a/src/bin/standin.ts
+++ b/src/bin/standin.ts
@@ -46,6 +46,7 @@
     'Runs workers on consecutive ports',
     {
       id: { type: 'string', default: 'w', describe: 'Id; with several workers, its prefix' },
+      ids: { type: 'string', describe: 'Ids separated by commas, in place of id and count' },
       count: { type: 'number', default: 1, describe: 'Number of workers' },
       first: { type: 'number', default: 1, describe: 'Number of the first worker' },
       processors: { type: 'number', default: 16 },
@@ -53,16 +54,20 @@
       accelerators: { type: 'number', default: 0 },
       slots: { type: 'number', default: 8 },
     },
-    async ({ address, port, id, count, first, ...room }) => {
+    async ({ address, port, id, ids, count, first, ...room }) => {
       const { processors, memoryMb, accelerators, slots } = room;
       const capacity = { processors, memoryMb, accelerators, slots } as Record<string, number>;
+      const numbered = Array.from({ length: Number(count) }, (_, i) =>
+        count === 1 ? String(id) : `${String(id)}${Number(first) + i}`,
+      );
+      const names = ids ? String(ids).split(',') : numbered;
       const standins = await Promise.all(
-        Array.from({ length: Number(count) }, (_, i) =>
+        names.map((name, i) =>
           startWorker({
             clock,
             address: String(address),
             port: port === 0 ? 0 : Number(port) + i,
-            id: count === 1 ? String(id) : `${String(id)}${Number(first) + i}`,
+            id: name,
             capacity: capacity as unknown as Parameters<typeof startWorker>[0]['capacity'],
           }),
         ),
--- a/src/deployment/deployment.ts
+++ b/src/deployment/deployment.ts
@@ -43,6 +43,7 @@
 
 const pollMs = 100;
 const settleTimeoutMs = 30_000;
+const workersPerProcess = 100;
 
 interface Listening {
   address: string;
@@ -96,7 +97,12 @@
  */
 export async function startDeployment(
   site: Site,
-  { clock, fatal = true, nodeArgs = [] }: { clock: Clock; fatal?: boolean; nodeArgs?: string[] },
+  {
+    clock,
+    fatal = true,
+    nodeArgs = [],
+    timeoutMs = settleTimeoutMs,
+  }: { clock: Clock; fatal?: boolean; nodeArgs?: string[]; timeoutMs?: number },
 ): Promise<Deployment> {
   const folder = mkdtempSync(path.join(tmpdir(), 'dogwood-'));
   const children: Child[] = [];
@@ -111,18 +117,17 @@
   const room = ['--processors', `${processors}`, '--memory-mb', `${memoryMb}`];
   const rest = ['--accelerators', `${accelerators}`, '--slots', `${slots}`];
   const workerPorts: Record<string, number> = {};
-  // One process stands in for all workers of a rack.
-  const racks = [...new Set(listWorkers(site).map(({ rack }) => rack))];
+  const ids = listWorkers(site).map(({ id }) => id);
+  const groups = Array.from({ length: Math.ceil(ids.length / workersPerProcess) }, (_, i) =>
+    ids.slice(i * workersPerProcess, (i + 1) * workersPerProcess),
+  );
   const [table, objects, hosts] = await Promise.all(
     ['table', 'objects', 'hosts'].map((name) => standin([name])),
   );
   await Promise.all(
-    racks.map(async (rack) => {
-      const ids = listWorkers(site).flatMap((worker) => (worker.rack === rack ? [worker.id] : []));
-      const single = ids.length === 1 ? `${rack}-w1` : `${rack}-w`;
-      const count = ['--id', single, '--count', `${ids.length}`];
-      const { ports } = await standin(['worker', ...count, ...room, ...rest]);
-      ids.forEach((id, i) => {
+    groups.map(async (group) => {
+      const { ports } = await standin(['worker', '--ids', group.join(','), ...room, ...rest]);
+      group.forEach((id, i) => {
         workerPorts[id] = ports[i] ?? 0;
       });
     }),
@@ -179,20 +184,20 @@
     return ownership.workers.length;
   };
   const isReady = async (entry: EntryProcess) => (await fetch(`${entry.operators}/readyz`)).ok;
-  const settled: Deployment['settled'] = async ({ timeoutMs = settleTimeoutMs } = {}) => {
+  const settled: Deployment['settled'] = async ({ timeoutMs: patience = timeoutMs } = {}) => {
     const total = listWorkers(site).length;
     await waitFor(
       async () => {
         const counts = await Promise.all(alive().map(ownedBy));
         return counts.reduce((sum, count) => sum + count, 0) === total;
       },
-      { clock, timeoutMs, what: `${total} workers owned` },
+      { clock, timeoutMs: patience, what: `${total} workers owned` },
     );
   };
 
   for (let i = 0; i < site.entries; i++) await startEntry();
   await waitFor(async () => (await Promise.all(alive().map(isReady))).every(Boolean), {
-    ...{ clock, timeoutMs: settleTimeoutMs, what: 'all processes ready' },
+    ...{ clock, timeoutMs, what: 'all processes ready' },
   });
   const applied = await operator(['apply', tree, '--base', '0']);
   if (applied.code !== 0) throw new Error(`apply failed: ${applied.stderr}${applied.stdout}`);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -80,6 +80,7 @@
   verifier: Verifier;
   core: Core;
   isLeaving: () => boolean;
+  dump: () => Record<string, unknown>;
 }
 
 function makeCallersInterface({ options, core, ...shared }: Shared): HttpInterface {
@@ -103,10 +104,10 @@
 function makeOperatorsInterface({ options, core, ...shared }: Shared): HttpInterface {
   const { operators } = options.settings;
   const { settings, membership, writer } = core;
-  const { invariants, metrics, verifier, isLeaving } = shared;
+  const { invariants, metrics, verifier, dump, isLeaving } = shared;
   return makeOperators({
     ...{ address: operators.address, port: operators.port, clock: options.clock },
-    ...{ invariants, metrics, verifier, dispatch: core.dispatch, dump: core.dump },
+    ...{ invariants, metrics, verifier, dump, dispatch: core.dispatch },
     parts: {
       ...{ settings, membership, writer, table: core.table, clock: options.clock },
       reallot: (current, limit) => changeLimit(current ?? { limit: 0, held: {} }, limit),
@@ -192,9 +193,21 @@
     endRequests: async () => callers?.drain(),
   });
   const verifier = makeVerifier({ fleet: core.settings.current });
-  const shared = { options, invariants, metrics, verifier, core, isLeaving: () => leaving };
+  const interfaces: Record<string, HttpInterface> = {};
+  const dump = () => ({
+    ...core.dump(),
+    ...Object.fromEntries(Object.entries(interfaces).map(([part, one]) => [part, one.state()])),
+    resources: {
+      cpu: process.cpuUsage(),
+      rssBytes: process.memoryUsage.rss(),
+      table: table.traffic(),
+      workers: workers.traffic(),
+    },
+  });
+  const shared = { options, invariants, metrics, verifier, core, dump, isLeaving: () => leaving };
   callers = makeCallersInterface(shared);
   const operators = makeOperatorsInterface(shared);
+  Object.assign(interfaces, { callers, operators });
   const peerServer = createServer(
     { keepAliveTimeout: peerKeepAliveMs },
     makePeerHandler(core.handlers, { room: core.pool.freeSlots }),
@@ -232,6 +245,6 @@
       metrics.close();
       log.info('The process has left.');
     },
-    dump: () => ({ ...core.dump(), callers: callers?.state(), operators: operators.state() }),
+    dump,
   };
 }
