--- /dev/null
+++ b/src/dispatch/jobs_test.ts
@@ -0,0 +1,229 @@
+import * as fc from 'fast-check';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { makeRandom, pickIndex } from '../clock/mod.ts';
+import { Kind } from '../errors/mod.ts';
+import type { JobRequest } from '../schema/mod.ts';
+import { makeFakeJobs } from '../testing/fake_jobs.ts';
+
+test('a repeat of the request id that makes a second job would run the batch twice', async () => {
+  const { submit, job, running, endAll, clock, close, used } = await makeFakeJobs();
+  const one = await submit({ kind: 'batch', tasks: 20 }, 'q');
+  const two = await submit({ kind: 'batch', tasks: 20 }, 'q');
+  const { id } = one.unsafeCoerce();
+  assert.is(two.unsafeCoerce().id, id);
+  const other = await submit({ kind: 'batch', tasks: 3 }, 'q');
+  assert.is(other.swap().unsafeCoerce().kind, Kind.RequestConflict);
+  await clock.advance(2_000);
+  assert.is(running().length, 20, 'own workers and those of the peer are used');
+  endAll();
+  await clock.advance(2_000);
+  assert.is((await job(id)).state, 'finished');
+  assert.equal(used(), [0, 0]);
+  close();
+});
+
+test('an attempt that fails must be retried later with a growing number, and then end the job', async () => {
+  const { submit, job, endAll, clock, workers, close } = await makeFakeJobs();
+  const { id } = (await submit({ kind: 'batch', maxAttempts: 3 })).unsafeCoerce();
+  for (let i = 0; i < 3; i++) {
+    endAll('failed');
+    await clock.advance(10_000);
+  }
+  assert.is((await job(id)).state, 'failed');
+  assert.equal(
+    workers.starts.map(({ request }) => request.attempt),
+    [1, 2, 3],
+  );
+  const gaps = workers.starts.map(({ at }) => at);
+  assert.ok((gaps[2] ?? 0) - (gaps[1] ?? 0) > 1_000);
+  const once = (await submit({ kind: 'batch', idempotent: false, body: 'once' })).unsafeCoerce();
+  endAll('failed');
+  await clock.advance(10_000);
+  assert.is((await job(once.id)).state, 'failed');
+  assert.is(workers.ran.get('once'), 1);
+  close();
+});
+
+test('an end reported to a former owner of the partition must still reach the job', async () => {
+  const { submit, job, endAll, clock, close } = await makeFakeJobs({ staleOwners: true });
+  const { id } = (await submit({ kind: 'batch', tasks: 3 })).unsafeCoerce();
+  await clock.advance(1_000);
+  endAll();
+  await clock.advance(12_000);
+  assert.is((await job(id)).state, 'finished');
+  close();
+});
+
+test('a start without an answer that is started again would run a task twice', async () => {
+  const { submit, job, clock, workers, close, running, endAll } = await makeFakeJobs();
+  workers.faults.w0a = { loseStart: 'answer' };
+  const { id } = (await submit({ kind: 'batch', body: 'x' })).unsafeCoerce();
+  await clock.advance(20_000);
+  assert.is(workers.ran.get('x'), 1);
+  assert.is(running().length, 1);
+  endAll();
+  await clock.advance(12_000);
+  assert.is((await job(id)).state, 'finished');
+  close();
+});
+
+test('a gang of which only a part runs would hold room for nothing', async () => {
+  const { submit, job, clock, close, running, endAll, used, first } = await makeFakeJobs({
+    units: [16, 6],
+  });
+  const small = (await submit({ kind: 'batch', tasks: 4 })).unsafeCoerce();
+  const { id } = (await submit({ kind: 'gang', tasks: 20 })).unsafeCoerce();
+  await clock.advance(5_000);
+  assert.is(running().filter((task) => task.job === id).length, 0);
+  first.jobs.cancel('a', small.id).catch(assert.unreachable);
+  await clock.advance(20_000);
+  assert.is(running().filter((task) => task.job === id).length, 20);
+  endAll();
+  await clock.advance(12_000);
+  assert.is((await job(id)).state, 'finished');
+  assert.equal(used(), [0, 0]);
+  close();
+});
+
+test('a cancelled job whose tasks go on, or that starts again, would waste the fleet', async () => {
+  const { submit, clock, close, running, processes, used } = await makeFakeJobs();
+  const ids: string[] = [];
+  for (let i = 0; i < 4; i++)
+    ids.push((await submit({ kind: 'batch', tasks: 3 })).unsafeCoerce().id);
+  await clock.advance(1_000);
+  assert.is(running().length, 12);
+  const [, second] = processes;
+  const all = ids.map((id) => second?.jobs.cancel('a', id));
+  const again = ids.map((id) => processes[0]?.jobs.cancel('a', id));
+  await clock.advance(8_000);
+  (await Promise.all([...all, ...again])).forEach((one) =>
+    assert.is(one?.unsafeCoerce().state, 'cancelled'),
+  );
+  assert.is(running().length, 0);
+  assert.equal(used(), [0, 0]);
+  close();
+});
+
+test('a service must be replaced when lost, and move by surge before stop', async () => {
+  const { submit, clock, close, running, settings, workers, endAll } = await makeFakeJobs();
+  const { id } = (await submit({ kind: 'service', tasks: 2 })).unsafeCoerce();
+  await clock.advance(1_000);
+  endAll('failed');
+  await clock.advance(15_000);
+  assert.is(running().length, 2);
+  const [home] = running();
+  const dataCentre = `dc${home?.worker[1] ?? ''}`;
+  settings.change((fleet) =>
+    Object.assign(fleet.dataCentres[dataCentre] ?? {}, { inService: false }),
+  );
+  for (let i = 0; i < 100; i++) {
+    await clock.advance(200);
+    assert.ok(running().length >= 2, 'never fewer replicas than wanted');
+  }
+  assert.ok(
+    running().every(({ worker }) => `dc${worker[1]}` !== dataCentre),
+    'all have moved',
+  );
+  assert.is(running().length, 2);
+  assert.ok(workers.starts.every(({ request }) => request.job === id));
+  close();
+});
+
+test('tasks that can checkpoint must leave a data centre that goes out of service', async () => {
+  const { submit, clock, close, running, settings } = await makeFakeJobs();
+  (
+    await submit({ kind: 'batch', tasks: 4, checkpoint: true, estimateMs: 9_000_000 })
+  ).unsafeCoerce();
+  const stays = (await submit({ kind: 'batch', estimateMs: 9_000_000 })).unsafeCoerce();
+  await clock.advance(1_000);
+  settings.change((fleet) => Object.assign(fleet.dataCentres.dc0 ?? {}, { inService: false }));
+  await clock.advance(20_000);
+  const left = running().filter(({ worker }) => worker.startsWith('w0'));
+  assert.equal(
+    left.map(({ job }) => job),
+    [stays.id],
+  );
+  assert.is(running().length, 5);
+  close();
+});
+
+test('jobs that can never run must be refused with the reason', async () => {
+  const { submit, close } = await makeFakeJobs();
+  const kind = async (request: JobRequest) => (await submit(request)).swap().unsafeCoerce().kind;
+  assert.is(await kind({ kind: 'batch', size: { processors: 99 } }), Kind.SizeInfeasible);
+  assert.is(await kind({ kind: 'gang', tasks: 33 }), Kind.SizeInfeasible);
+  assert.is(await kind({ kind: 'gang', tasks: 17, across: 'rack' }), Kind.SizeInfeasible);
+  close();
+});
+
+test('a large result must come back whole', async () => {
+  const { submit, clock, close, store, first, running, endAll } = await makeFakeJobs();
+  const { id } = (await submit({ kind: 'batch' })).unsafeCoerce();
+  const [task] = running();
+  const result = 'x'.repeat(100_000);
+  if (task) {
+    const ended = { ...task, state: 'finished' as const, result };
+    const answer = first.jobs.handlers.ended({ ended: [ended] });
+    await clock.advance(100);
+    assert.ok((await answer).isRight());
+  }
+  endAll();
+  const read = first.jobs.result('a', id);
+  await clock.advance(100);
+  assert.is((await read).unsafeCoerce(), result);
+  assert.equal(store.rows.get(`results/${id}.0`)?.value, { object: `results/${id}.0` });
+  close();
+});
+
+test('under random faults every job must end once, without a task in two places', async () => {
+  await fc.assert(
+    fc.asyncProperty(fc.integer(), async (seed) => {
+      const fixture = await makeFakeJobs({ seed, units: [16, 16, 16], policy: true });
+      const { clock, workers, store, submit, job, running, close, used } = fixture;
+      const random = makeRandom(seed);
+      const ids: string[] = [];
+      const check = () => {
+        const tasks = running().map(({ task }) => task);
+        assert.is(new Set(tasks).size, tasks.length, 'a task runs twice');
+      };
+      for (let i = 0; i < 30; i++) {
+        Object.assign(store.faults, { loseAnswer: random() * 0.3, unavailable: random() * 0.3 });
+        const worker = `w${pickIndex(random, 3)}${random() < 0.5 ? 'a' : 'b'}`;
+        const fault = [
+          { unreachable: true },
+          { loseStart: 'answer' },
+          { loseStart: 'request' },
+          {},
+          {},
+        ][pickIndex(random, 5)];
+        Object.assign(workers.faults, { [worker]: fault });
+        const kind = random() < 0.3 ? 'gang' : 'batch';
+        const made = await submit({
+          kind,
+          tasks: 1 + pickIndex(random, 4),
+          body: i,
+          maxAttempts: 100,
+        });
+        made.ifRight(({ id }) => ids.push(id));
+        running().forEach(({ worker: on, task }) => random() < 0.3 && workers.end(on, task));
+        await clock.advance(random() * 10_000);
+        check();
+      }
+      Object.assign(store.faults, { loseAnswer: 0, unavailable: 0 });
+      Object.keys(workers.faults).forEach((id) => Object.assign(workers.faults, { [id]: {} }));
+      for (let i = 0; i < 60 && store.rows.size > 0; i++) {
+        await clock.advance(5_000);
+        check();
+        running().forEach(({ worker, task }) => workers.end(worker, task));
+      }
+      for (const id of ids) assert.is((await job(id)).state, 'finished', id);
+      assert.equal(used(), [0, 0, 0]);
+      close();
+    }),
+    { numRuns: 6, includeErrorInReport: true },
+  );
+});
+
+test.run();
--- a/src/errors/answer.ts
+++ b/src/errors/answer.ts
@@ -43,6 +43,7 @@
 export const answers: Readonly<Record<Kind, Answer>> = {
   [Kind.MalformedRequest]: refused(400),
   [Kind.BodyTooLarge]: refused(413),
+  [Kind.HeaderTooLarge]: refused(431),
   [Kind.NotFound]: refused(404),
   [Kind.MethodNotAllowed]: refused(405),
   [Kind.KeyMissing]: refused(401),
@@ -71,6 +72,7 @@
   [Kind.TableUnavailable]: refused(503, retryLaterMs),
   [Kind.TableUnknown]: { status: 504, ran: Ran.Unknown },
   [Kind.ObjectUnavailable]: { status: 503, ran: Ran.Yes, retryAfterMs: retryLaterMs },
+  [Kind.HostsUnavailable]: refused(503, retryLaterMs),
   [Kind.OutcomeUnknown]: { status: 504, ran: Ran.Unknown },
   [Kind.RequestRepeated]: { status: 409, ran: Ran.Unknown },
   [Kind.TaskFailed]: { status: 502, ran: Ran.Yes },
--- a/src/pool/_starts.ts
+++ b/src/pool/_starts.ts
@@ -70,9 +70,12 @@
     worker: entry.upstream.id,
     size: need.size,
     startedAt: state.parts.clock.now(),
+    estimateMs: need.estimateMs,
     state: 'starting',
   };
   entry.tasks.set(held.task, held);
+  // Acknowledgements name tasks: one of an earlier attempt must not reach the new one.
+  entry.acknowledged.delete(held.task);
   return held;
 }
 
@@ -115,9 +118,9 @@
   const { ownership, onAttempt } = state.parts;
   if (isNotRun(failed)) {
     freeTask(state, entry, held);
-    const { kind } = held;
+    const { kind, job } = held;
     const atFault = failed.kind === Kind.WorkerRefused || failed.kind === Kind.WorkerUnreachable;
-    if (atFault) onAttempt?.({ worker: entry.upstream.id, ok: false, runMs: 0, kind });
+    if (atFault) onAttempt?.({ worker: entry.upstream.id, job, ok: false, runMs: 0, kind });
     if (failed.kind === Kind.EpochStale) ownership.lost(entry.upstream.id);
     return;
   }
@@ -133,7 +136,8 @@
   entry: Entry,
   { need, launch, freshUntil }: { need: Need; launch: Launch; freshUntil: number },
 ): StartRequest {
-  const { task, attempt, job, idempotent, body } = launch;
+  // JSON drops an undefined body, and the message requires one.
+  const { task, attempt, job, idempotent, body = null } = launch;
   return {
     task,
     attempt,
--- a/src/pool/_state.ts
+++ b/src/pool/_state.ts
@@ -28,7 +28,13 @@
   log: Log;
   metrics: Metrics;
   /** Called with the outcome of each attempt, for quarantine. */
-  onAttempt?: (outcome: { worker: string; ok: boolean; runMs: number; kind: string }) => void;
+  onAttempt?: (outcome: {
+    worker: string;
+    job: string;
+    ok: boolean;
+    runMs: number;
+    kind: string;
+  }) => void;
   /** Quarantine level of a worker. */
   penalty?: (worker: string) => number;
 }
@@ -81,6 +87,8 @@
   endedObservers: ((ended: Ended[]) => void)[];
   roomObservers: (() => void)[];
   nextId: () => string;
+  /** Worker that is kept free for waiting work. */
+  keptFree: string | undefined;
   closed: AbortController;
 }
 
@@ -101,10 +109,11 @@
 
 /** Notes that the worker runs the task. */
 export function confirm(held: HeldTask, now: number): void {
-  const { confirmedAt = now, state } = held;
+  const { confirmedAt = now, state, kind, uncertainUntil } = held;
   Object.assign(held, {
     confirmedAt,
-    uncertainUntil: undefined,
+    // A lookup whose answer was lost is listed until it has ended, for nobody reports its end.
+    uncertainUntil: kind === 'lookup' ? uncertainUntil : undefined,
     state: state === 'starting' ? 'running' : state,
   });
 }
--- a/src/schema/_generated/types.ts
+++ b/src/schema/_generated/types.ts
@@ -230,6 +230,10 @@
    * Asks the claimant's own process for the answer that it still keeps; claims nothing.
    */
   recall?: boolean;
+  /**
+   * Withdraws the claimant's claim, because its lookup certainly did not run.
+   */
+  withdraw?: boolean;
   membership: number;
 }
 export interface WitnessAnswer {
@@ -365,14 +369,44 @@
   after: number;
 }
 /**
- * Row `head`: newest versions, and the share digest (running tasks per team).
+ * A change of settings as an operator submits it, made from version `base`; null removes a file.
+ */
+export interface SettingsProposal {
+  base: number;
+  note?: string;
+  files: {
+    [k: string]: string | null;
+  };
+}
+/**
+ * The settings in force, as operators read them.
+ */
+export interface SettingsTree {
+  version: number;
+  files: {
+    [k: string]: string;
+  };
+}
+/**
+ * Changes of settings, newest first, without the texts of files.
+ */
+export interface SettingsHistory {
+  version: number;
+  changes: SettingsChange[];
+}
+export interface SettingsChange {
+  version: number;
+  by: string;
+  at: number;
+  note: string;
+  files: string[];
+}
+/**
+ * Row `head`: newest versions of settings and membership.
  */
 export interface Head {
   settings: number;
   membership: number;
-  usage?: {
-    [k: string]: number;
-  };
 }
 /**
  * Row `members/{id}`: one entry process.
@@ -471,6 +505,15 @@
     [k: string]: Allotment;
   };
 }
+/**
+ * Row `usage`: what each team uses of the fleet, two characters a team.
+ */
+export interface ShareRecord {
+  membership: number;
+  settings: number;
+  parts: number;
+  units: string;
+}
 /**
  * An operator, who may read and change all settings. At least one must exist.
  */
@@ -516,7 +559,7 @@
   /**
    * Dialect of the protocol that workers speak.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Whether workers refuse requests with an old epoch. With `no`, a worker is taken over only after its former owner released it, or was dropped from the host list and 30 s have passed.
    */
@@ -672,7 +715,7 @@
    */
   max_header_bytes: number;
   /**
-   * Open connections at once; more are closed at once.
+   * Open connections; requests on further ones are refused with `too-many-connections`.
    */
   max_connections: number;
   /**
@@ -713,7 +756,7 @@
   /**
    * Dialect of the protocol that the service speaks.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Address of the service.
    */
@@ -730,7 +773,7 @@
   /**
    * Dialect of the protocol that the service speaks.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Address of the service.
    */
@@ -747,7 +790,7 @@
   /**
    * Dialect of the protocol that the service speaks.
    */
-  dialect: string;
+  dialect: 'http-json';
   /**
    * Address of the service. Empty where the platform has none.
    */
--- /dev/null
+++ b/src/standins/services_test.ts
@@ -0,0 +1,68 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { systemClock } from '../clock/mod.ts';
+import { Kind } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
+import { makeConnections } from '../exchange/mod.ts';
+import { hostDialects } from '../hosts/mod.ts';
+import { objectDialects } from '../objects/mod.ts';
+import { startHosts, startObjects, startWorker } from './mod.ts';
+
+const clock = systemClock;
+
+test('a missing object that looks like a failure, or the reverse, would lose a result', async () => {
+  const { faults, close, address, port } = await startObjects({ clock });
+  const objects = objectDialects.http({ address, port, clock });
+  const name = 'results/j1 2';
+  assert.is((await objects.get(name)).unsafeCoerce(), undefined);
+  await objects.put(name, new Uint8Array([1, 2, 255]));
+  assert.equal([...((await objects.get(name)).unsafeCoerce() ?? [])], [1, 2, 255]);
+  faults.fail = true;
+  assert.is(((await objects.get(name)).extract() as Failure).kind, Kind.ObjectUnavailable);
+  faults.fail = false;
+  await objects.remove(name);
+  assert.is((await objects.get(name)).unsafeCoerce(), undefined);
+  await Promise.all([objects.close(), close()]);
+});
+
+test('a host list that fails would be read as a list without hosts', async () => {
+  const hosts = [{ address: '127.0.0.9', state: 'leaving' as const }];
+  const { faults, close, address, port } = await startHosts({ clock, hosts });
+  const client = hostDialects['http-json']({ address, port, clock });
+  assert.equal((await client.list()).unsafeCoerce(), hosts);
+  faults.fail = true;
+  assert.is(((await client.list()).extract() as Failure).kind, Kind.HostsUnavailable);
+  await Promise.all([client.close(), close()]);
+});
+
+test('a fault that cannot be switched from another process would not be tested there', async () => {
+  const worker = await startWorker({ clock, id: 'w1' });
+  const { address, port } = worker;
+  const link = makeConnections({ address, port, clock, connections: 2 });
+  const post = async (path: string, value: object) => {
+    const body = JSON.stringify(value);
+    const answer = await link.exchange({ method: 'POST', path, body, timeoutMs: 2_000 });
+    return answer.map(({ status }) => status).extract();
+  };
+  assert.is(await post('/_control', { fail: true }), 200);
+  assert.is(await post('/fence', { owner: 'm1', epoch: 1 }), 500);
+  assert.is(await post('/_control', { fail: false, leaving: true }), 200);
+  assert.is(await post('/fence', { owner: 'm1', epoch: 1 }), 200);
+  const held = post('/renew', { epoch: 1, leaseMs: 1_000, waitMs: 1_500 });
+  assert.is(await held, 200, 'the change to leaving ends the wait');
+  const cut = post('/renew', { epoch: 1, leaseMs: 1_000, waitMs: 1_500 });
+  assert.is(await post('/_control', { crash: true, refuseMs: 100 }), 200);
+  assert.equal((await cut) && typeof (await cut), 'object', 'a crash cuts open exchanges');
+  // The client may see the end of its other connection a little later.
+  await clock.sleep(20);
+  assert.equal(await post('/fence', { owner: 'm1', epoch: 2 }), {
+    sent: false,
+    message: `connect ECONNREFUSED ${address}:${port}`,
+  });
+  await clock.sleep(150);
+  assert.is(await post('/fence', { owner: 'm1', epoch: 2 }), 200);
+  await Promise.all([link.close(), worker.close()]);
+});
+
+test.run();
