Count no promises while an own settings commit is unresolved

Cause: a process whose settings commit had taken effect but lost its answer asked the others for promises, got all of them, and became fresh with the settings that its own commit had replaced. The rule for promises covered what a process gives, not what it counts on. Ruled out: the merge of the commit path (the change is in afterRound only), relays (bounded by a read before the commit). Change: a round of promises is void while an own commit is unresolved.

--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -26,7 +26,7 @@
 import { makeOperators } from '../operators/mod.ts';
 import { makePeerClients, makePeerHandler, peerKeepAliveMs } from '../peers/mod.ts';
 import type { EntrySettings } from '../settings/mod.ts';
-import { changeLimit } from '../limits/mod.ts';
+import { reallot } from '../limits/mod.ts';
 import { tableDialects } from '../table/mod.ts';
 import { workerDialects } from '../workers/mod.ts';
 import { makeCore } from './core.ts';
@@ -110,7 +110,7 @@
     ...{ invariants, metrics, verifier, dump, dispatch: core.dispatch },
     parts: {
       ...{ settings, membership, writer, table: core.table, clock: options.clock },
-      reallot: (current, limit) => changeLimit(current ?? { limit: 0, held: {} }, limit),
+      reallot,
     },
     gate: () =>
       isLeaving() ? Left(failure(Kind.Draining, 'this process is shutting down')) : core.gate(),
--- a/src/membership/freshness.ts
+++ b/src/membership/freshness.ts
@@ -121,7 +121,10 @@
       ? [begunAt + (answer.remainingMs ?? 0) * (1 - freshness.drift)]
       : [],
   );
-  const promised = given.every((answer) => answer?.verdict === 'promise');
+  // The process itself is a known member: while a commit of its own is unresolved, its settings may be
+  // the ones that were replaced, and it cannot count on the promises of the others.
+  const promised =
+    knowledge.committing === 0 && given.every((answer) => answer?.verdict === 'promise');
   const until = Math.max(
     knowledge.freshUntil,
     ...relays,
--- a/src/membership/freshness_test.ts
+++ b/src/membership/freshness_test.ts
@@ -50,6 +50,13 @@
   );
 });
 
+test('a process whose own commit is unresolved must not become fresh by the promises of the others', () => {
+  const promise: FreshAnswer = { verdict: 'promise', settings: 4 };
+  const committing = { ...member, committing: 1 };
+  assert.is(afterRound(committing, round(promise, promise)).freshUntil, member.freshUntil);
+  assert.ok(afterRound(member, round(promise, promise)).freshUntil > member.freshUntil);
+});
+
 test('a promise of a member with newer settings must void the round', () => {
   const after = afterRound(member, round({ verdict: 'promise', settings: 5 }));
   assert.is(after.freshUntil, -Infinity);
--- a/src/testing/soak_test.ts
+++ b/src/testing/soak_test.ts
@@ -5,7 +5,8 @@
 import { soak } from './soak.ts';
 
 // Seeds 834 and 1638 found a process that vouched for settings it had itself replaced, seed 477 a
-// worker handed over to a member that did not expect it any more.
+// worker handed over to a member that did not expect it any more, seed 3095 a process that counted on
+// promises while its own commit was unresolved.
 const seeds = [1, 477, 834, 1638, 3095];
 const maxSeeds = 40;
 
