Hand lookups over to the processes that hold the team's units

Cause: the option `holders` of the peer choice was not passed, so a process without units asked random peers, three at most, and then waited for units that a small limit may never bring to it. Change: limits answer `holders(team)` from the row that was last read, without a read on the lookup path. The list is used for limits too small for a chunk per member and for rows without free units; other teams still go to the peer with room. Rows of small limits are read again every 10 s. A lookup without units waits 100 ms and then asks peers again. Conclusion: small limits are usable through every process.

--- a/src/dispatch/_lookup_run.ts
+++ b/src/dispatch/_lookup_run.ts
@@ -50,6 +50,9 @@
 }
 
 const maxHandOvers = 3;
+// A process without units of the team waits no longer than this before it asks peers again: units
+// of a small limit may never come here.
+const unitlessWaitMs = 100;
 
 async function runHere(
   state: LookupState,
@@ -121,40 +124,54 @@
   return answer.map((value) => ({ ...value, id }));
 }
 
+/** Asks peers in turn; undefined when none of them ran the lookup or may have run it. */
+async function tryPeers(
+  state: LookupState,
+  { lookup, tries }: { lookup: Lookup; tries: Tries },
+): Promise<Either<Failure, LookupAnswer> | undefined> {
+  for (let i = 0; i < maxHandOvers && state.clock.now() < lookup.deadlineAt; i++) {
+    const answer = await handOver(state, { lookup, tries });
+    if (!answer) return undefined;
+    const failed = answer.swap().toMaybe().extract();
+    if (!failed || !mayHandOn(failed, lookup)) return answer;
+  }
+  return undefined;
+}
+
 /** One try: here, at a peer, or here after waiting. */
 async function attempt(
   state: LookupState,
   { lookup, tries }: { lookup: Lookup; tries: Tries },
 ): Outcome<LookupAnswer> {
   const { pool, limits, queue, clock } = state;
+  const { signal } = lookup;
   const need: Need = { ...lookup.need, avoidWorkers: tries.workers };
   const place = pool.reserve(need);
   const reservation = place.toMaybe().extract();
   if (reservation) return runHere(state, { lookup, tries, place: reservation });
   const shortage = place.swap().unsafeCoerce();
   if (!isShortage(shortage)) return Left(shortage);
-  if (shortage.kind === Kind.TeamLimit) limits.want(need.team, 1).catch(() => undefined);
+  const teamHeld = shortage.kind === Kind.TeamLimit;
+  if (teamHeld) limits.want(need.team, 1).catch(() => undefined);
   let { deadlineAt } = lookup;
   if (lookup.handed) {
     // Waiting here makes sense when this process holds the team's units, or room comes soon.
-    if (shortage.kind === Kind.TeamLimit && limits.held(need.team) === 0) return Left(shortage);
-    if (shortage.kind === Kind.NoRoom) deadlineAt = (deadlineAt + clock.now()) / 2;
-  } else {
-    for (let i = 0; i < maxHandOvers && clock.now() < deadlineAt; i++) {
-      const answer = await handOver(state, { lookup, tries });
-      const failed = answer?.swap().toMaybe().extract();
-      if (answer && !(failed && mayHandOn(failed, lookup))) return answer;
-      if (!answer) break;
-    }
+    if (teamHeld && limits.held(need.team) === 0) return Left(shortage);
+    if (!teamHeld) deadlineAt = (deadlineAt + clock.now()) / 2;
+  }
+  const triedBefore = [...tries.peers];
+  for (;;) {
+    const answer = lookup.handed ? undefined : await tryPeers(state, { lookup, tries });
+    if (answer) return answer;
+    const unitless = !lookup.handed && teamHeld && limits.held(need.team) === 0;
+    const until = unitless ? Math.min(deadlineAt, clock.now() + unitlessWaitMs) : deadlineAt;
+    const waited = await queue.wait(need, { deadlineAt: until, ...(signal ? { signal } : {}) });
+    const granted = waited.toMaybe().extract();
+    if (granted) return runHere(state, { lookup, tries, place: granted });
+    if (until >= deadlineAt || signal?.aborted) return waited.map((): never => undefined as never);
+    // Peers that could start nothing then may hold units by now.
+    Object.assign(tries, { peers: new Set(triedBefore) });
   }
-  const waited = await queue.wait(need, {
-    deadlineAt,
-    ...(lookup.signal ? { signal: lookup.signal } : {}),
-  });
-  return waited.caseOf<Outcome<LookupAnswer>>({
-    Left: (failed) => Promise.resolve(Left(failed)),
-    Right: (granted) => runHere(state, { lookup, tries, place: granted }),
-  });
 }
 
 /** Runs a lookup to its answer, with at most one retry. */
--- a/src/dispatch/lookups_test.ts
+++ b/src/dispatch/lookups_test.ts
@@ -3,40 +3,70 @@
 import * as assert from 'uvu/assert';
 
 import { makeRandom, makeVirtualClock, pickIndex } from '../clock/mod.ts';
-import { Kind, isNotRun } from '../errors/mod.ts';
+import { Kind, isNotRun, refuse } from '../errors/mod.ts';
+import { makeInvariants, throwOnViolation } from '../invariants/mod.ts';
+import { makeLimits } from '../limits/mod.ts';
+import type { Peer } from '../peers/mod.ts';
+import type { Table } from '../table/mod.ts';
 import { fakeTeam, fakeUpstream, makeFakeSettings } from '../testing/fake_fleet.ts';
 import { fakeMember, makeFakeProcess } from '../testing/fake_process.ts';
 import type { FakeProcess } from '../testing/fake_process.ts';
+import { makeFakeTable } from '../testing/fake_table.ts';
 import { makeFakeWorkers } from '../testing/fake_workers.ts';
 
 const caller = { team: 'a', queue: 'main' };
 
-async function setUp({ units = [8, 8], lookupMs = 100, seed = 3 } = {}) {
+async function setUp({
+  units = [8, 8],
+  lookupMs = 100,
+  seed = 3,
+  limit = 100,
+  table = false,
+} = {}) {
   const clock = makeVirtualClock();
   const workers = makeFakeWorkers({ clock, lookupMs });
   const upstreams = units.flatMap((_, i) => [fakeUpstream(`w${i}a`), fakeUpstream(`w${i}b`)]);
-  const settings = makeFakeSettings({ upstreams, teams: [fakeTeam('a', 100)] });
+  const settings = makeFakeSettings({ upstreams, teams: [fakeTeam('a', limit)] });
   const members = units.map((_, i) => fakeMember(`m${i}`));
   const shared = {
     clock,
     workers,
     settings,
     members,
-    handlers: new Map(),
+    handlers: new Map<string, Partial<Peer>>(),
     random: makeRandom(seed),
   };
+  const store = makeFakeTable({ clock, random: shared.random });
+  const service = { isDown: false };
+  const read: Table['read'] = async (keys) =>
+    service.isDown ? refuse(Kind.TableUnavailable, 'down by the test') : store.table.read(keys);
+  const stop = new AbortController();
+  const realLimits = (id: string) => {
+    const limits = makeLimits({
+      ...{ clock, settings, writer: store.writer, table: { ...store.table, read } },
+      member: () => ({ id, members: members.length }),
+      invariants: makeInvariants({ onViolation: throwOnViolation }),
+    });
+    limits.run(stop.signal).catch(assert.unreachable);
+    return limits;
+  };
   const processes: FakeProcess[] = [];
   for (let i = 0; i < units.length; i++) {
     const own = upstreams.slice(2 * i, 2 * i + 2);
+    const id = `m${i}`;
+    const limits = table ? { limits: realLimits(id) } : {};
     processes.push(
-      await makeFakeProcess(shared, { id: `m${i}`, upstreams: own, units: { a: units[i] ?? 0 } }),
+      await makeFakeProcess(shared, { id, upstreams: own, units: { a: units[i] ?? 0 }, ...limits }),
     );
   }
   const [first] = processes;
   if (!first) throw new Error('no process');
-  const close = () => processes.forEach(({ pool }) => pool.close());
+  const close = () => {
+    stop.abort();
+    processes.forEach(({ pool }) => pool.close());
+  };
   const kinds = () => processes.map(({ limits }) => limits.used('a'));
-  return { clock, workers, settings, processes, first, close, kinds, shared };
+  return { clock, workers, settings, processes, first, close, kinds, shared, store, service };
 }
 
 test('a lookup that finds its own process full must use the room and units of a peer', async () => {
@@ -50,6 +80,43 @@
   close();
 });
 
+test('a lookup of a team whose few units are at other processes must find them, also in an outage', async () => {
+  const fixture = await setUp({ units: Array<number>(8).fill(0), limit: 3, table: true });
+  const { clock, workers, processes, close, kinds, shared, store, service } = fixture;
+  const askAll = async () => {
+    const all = processes.map(({ lookups }, i) => lookups.lookup(caller, { body: i }));
+    for (let i = 0; i < 160; i++) {
+      await clock.advance(10);
+      assert.ok(kinds().reduce((sum, used) => sum + used, 0) <= 3, 'more tasks than the limit');
+    }
+    return Promise.all(all);
+  };
+  // Units move between the members for a while; an idle one is returned after 10 s.
+  (await askAll()).forEach((answer, i) => assert.is(answer.unsafeCoerce().body, i));
+  await clock.advance(5_000);
+  (await askAll()).forEach((answer, i) => assert.is(answer.unsafeCoerce().body, i));
+  const commits = store.commits.length;
+  let handed = 0;
+  shared.handlers.forEach((handlers, id) => {
+    const { lookup } = handlers;
+    const counted: typeof lookup = async (...asked) => {
+      handed += 1;
+      return lookup ? lookup(...asked) : refuse(Kind.PeerUnavailable, 'no handler');
+    };
+    shared.handlers.set(id, { ...handlers, lookup: counted });
+  });
+  Object.assign(service, { isDown: true });
+  Object.assign(store.faults, { unavailable: 1 });
+  for (let i = 0; i < 10; i++) {
+    (await askAll()).forEach((answer, n) => assert.is(answer.unsafeCoerce().body, n));
+    await clock.advance(2_000);
+  }
+  assert.is(store.commits.length, commits, 'no unit has moved in the outage');
+  assert.is(handed, 10 * 5, 'the five processes without units ask a holder at once');
+  assert.is(workers.starts.length, 12 * 8);
+  close();
+});
+
 test('a non-idempotent lookup that is resent after a lost answer would run twice', async () => {
   const { first, clock, workers, close } = await setUp();
   workers.faults.w0a = { loseStart: 'answer' };
--- a/src/entry/core.ts
+++ b/src/entry/core.ts
@@ -163,7 +163,7 @@
     },
     penalty: (worker) => health.penalty(worker, clock.now()),
   });
-  const choice = makePeerChoice({ clock, random, membership });
+  const choice = makePeerChoice({ clock, random, membership, holders: limits.holders });
   const requests = makeRequests({ clock, peers, membership });
   const lookups = makeLookups({
     ...common,
--- a/src/limits/_updates.ts
+++ b/src/limits/_updates.ts
@@ -33,6 +33,8 @@
 /** Runs updates. */
 export interface Updates {
   update(wanted: Update): Outcome<boolean>;
+  /** The row of a team as last read or written; undefined before the first time. */
+  known(team: string): Allotment | undefined;
   /** Makes the results of updates in flight void. */
   reset(): void;
 }
@@ -54,6 +56,7 @@
   ledger: Ledger;
 }): Updates {
   let generation = 0;
+  const known = new Map<string, Allotment>();
   let last: Promise<unknown> = Promise.resolve();
 
   const inTurn = <T>(work: () => Promise<T>): Promise<T> => {
@@ -81,9 +84,10 @@
     const me = member().id;
     const lowerings = new Map(teams.map((team) => [team, ledger.lowerings(team)]));
     const note = (values: Record<string, Allotment>) => {
-      Object.entries(values).forEach(([team, { held }]) =>
-        ledger.set(team, held[me] ?? 0, { lowerings: lowerings.get(team) ?? 0 }),
-      );
+      Object.entries(values).forEach(([team, row]) => {
+        known.set(team, row);
+        ledger.set(team, row.held[me] ?? 0, { lowerings: lowerings.get(team) ?? 0 });
+      });
     };
     const gone = () => started !== generation || me !== member().id;
     const read = await readRows(teams);
@@ -139,8 +143,10 @@
 
   return {
     update,
+    known: (team) => known.get(team),
     reset() {
       generation += 1;
+      known.clear();
     },
   };
 }
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -17,4 +17,9 @@
   excess(team: string): number;
   /** Asks for units ahead of need; resolves when the request has been dealt with. */
   want(team: string, count: number): Promise<void>;
+  /**
+   * Other members that hold units which this process cannot borrow, by the last read of the team's
+   * row. Empty while there are units to borrow for any member.
+   */
+  holders(team: string): string[];
 }
--- a/src/limits/rules.ts
+++ b/src/limits/rules.ts
@@ -39,7 +39,7 @@
 /** What limits are made of. */
 export interface LimitsOptions {
   writer: Writer;
-  table: Table;
+  table: Pick<Table, 'read' | 'scan'>;
   settings: Settings;
   clock: Clock;
   invariants: Invariants;
--- a/src/limits/task.ts
+++ b/src/limits/task.ts
@@ -17,6 +17,7 @@
 const idleMs = 10_000;
 const refreshMs = 60_000;
 const deniedMs = 500;
+
 /**
  * Makes the limits of a process.
  *
@@ -30,9 +31,13 @@
   const ledger = makeLedger({ invariants });
   const deniedUntil = new Map<string, number>();
   const wanting = new Set<string>();
-  const { update, reset } = makeUpdates({ writer, table, settings, member, ledger, rules });
+  const { update, known, reset } = makeUpdates({ writer, table, settings, member, ledger, rules });
   let seenVersion = settings.current().version;
 
+  /** True when the limit is too small for every member to hold units ahead of need. */
+  const isSmall = (team: string) =>
+    chunkSize(settings.current().teams[team]?.limit ?? 0, member().members) === 1;
+
   const refresh = async (teams: string[], after?: () => void): Outcome<void> => {
     if (teams.length === 0) {
       after?.();
@@ -103,9 +108,7 @@
   return {
     take(team, count = 1) {
       const taken = ledger.take(team, count);
-      const { members } = member();
-      const limit = settings.current().teams[team]?.limit ?? 0;
-      const chunk = chunkSize(limit, members);
+      const chunk = chunkSize(settings.current().teams[team]?.limit ?? 0, member().members);
       // A limit too small for a chunk per member is not borrowed ahead of need: others wait for it.
       const ahead = chunk > 1 && ledger.free(team) < chunk / 2;
       if (!taken || ahead) want(team, taken ? chunk : count).catch(() => undefined);
@@ -118,6 +121,12 @@
     used: ledger.used,
     excess: ledger.excess,
     want,
+    holders(team) {
+      const row = known(team);
+      if (!row || (!isSmall(team) && heldByAll(row) < row.limit)) return [];
+      const me = member().id;
+      return Object.keys(row.held).filter((id) => id !== me && (row.held[id] ?? 0) > 0);
+    },
     refresh,
     park: ledger.park,
     unpark: ledger.unpark,
@@ -180,6 +189,9 @@
           sinceIdle = 0;
           const idle = ledger.teams().map((team) => [team, ledger.idle(team)] as const);
           await giveUp(Object.fromEntries(idle));
+          // Members learn who holds the units of small limits before an outage, and before they
+          // need one. Units move no faster than they become idle.
+          await refresh(Object.keys(settings.current().teams).filter(isSmall));
         }
         if (sinceRefresh >= refreshMs) {
           sinceRefresh = 0;
--- a/src/testing/fake_fleet.ts
+++ b/src/testing/fake_fleet.ts
@@ -123,6 +123,7 @@
     },
     adopt: (team, count) => used.set(team, usedOf(team) + count),
     want: async () => undefined,
+    holders: () => [],
     set: (team, count) => held.set(team, count),
   };
 }
--- a/src/testing/fake_process.ts
+++ b/src/testing/fake_process.ts
@@ -11,6 +11,7 @@
 import { makeLookups, makePeerChoice } from '../dispatch/mod.ts';
 import { Kind, refuse } from '../errors/mod.ts';
 import { makeInvariants, throwOnViolation } from '../invariants/mod.ts';
+import type { Limits } from '../limits/mod.ts';
 import { silentLog } from '../logs/mod.ts';
 import { Phase } from '../membership/mod.ts';
 import { silentMetrics } from '../metrics/mod.ts';
@@ -97,12 +98,14 @@
     units: Record<string, number>;
     requests?: Requests;
     placement?: PlacementIndex;
+    /** Replaces the limits that hold `units` and never change. */
+    limits?: Limits;
   },
 ) {
   const { clock, workers, settings, members, handlers, random = makeRandom(3) } = shared;
   const { id, upstreams, units, requests = firstRequests } = options;
   const { placement = makeFirstFit() } = options;
-  const limits = makeFakeLimits(units);
+  const { limits = makeFakeLimits(units) } = options;
   const ownership = makeFakeOwnership();
   const invariants = makeInvariants({ onViolation: throwOnViolation });
   const membership = {
@@ -125,7 +128,7 @@
   const log = silentLog;
   const pool = makePool({ ...common, log, workers, placement, ownership });
   const peers = connectPeers(shared);
-  const peerChoice = makePeerChoice({ clock, random, membership });
+  const peerChoice = makePeerChoice({ clock, random, membership, holders: limits.holders });
   const lookups = makeLookups({ ...common, log, pool, peers, peerChoice, requests });
   handlers.set(id, { lookup: lookups.handed });
   for (const upstream of upstreams) {
