Look for a place apart at every member before tasks share a domain

Cause: all tasks of one hold had the same list of racks to avoid, so they could share a rack, and own workers were taken before a peer was asked. A service whose replicas shared a rack stayed there. Change: with spread set, one place is taken at a time, first outside the racks or data centres that hold most replicas: here, then with each owner of such workers. Once a second, one service whose replicas share a domain gets one replica elsewhere, and one of the crowded ones is stopped when that runs; a service is tried at most every 10 s. Measured: six tasks over three data centres run as 6, 0, 0 before and 2, 2, 2 now; three replicas over two racks as 3, 0 before and 2, 1 now. Conclusion: the loss of one rack no longer takes a whole spread service.

--- a/src/decisions/services.ts
+++ b/src/decisions/services.ts
@@ -34,12 +34,6 @@
   surge?: number;
 }
 
-function mostUsed(values: string[]): string | undefined {
-  const counts = new Map<string, number>();
-  values.forEach((value) => counts.set(value, (counts.get(value) ?? 0) + 1));
-  return [...counts].sort(([, left], [, right]) => right - left)[0]?.[0];
-}
-
 // Domains that hold as many replicas as the fullest one; the next replica goes elsewhere.
 function fullest(values: string[]): string[] {
   const counts = new Map<string, number>();
@@ -89,12 +83,16 @@
   const running = alive.filter(({ state }) => state === 'running');
   let surplus = running.length - wanted;
   const leaving = running.filter((replica) => replica.leaving);
-  const crowded = mostUsed(running.map(({ dataCentre }) => dataCentre));
+  const crowd = (field: 'rack' | 'dataCentre') => (replica: Replica) =>
+    running.filter((other) => other[field] === replica[field]).length;
+  const inRack = spread === 'rack' ? crowd('rack') : () => 0;
+  const inCentre = crowd('dataCentre');
   const others = running
     .filter((replica) => !replica.leaving)
     .sort(
       (left, right) =>
-        Number(right.dataCentre === crowded) - Number(left.dataCentre === crowded) ||
+        inRack(right) - inRack(left) ||
+        inCentre(right) - inCentre(left) ||
         (left.task < right.task ? 1 : -1),
     );
   [...leaving, ...others].forEach(({ task, leaving: leaves }) => {
--- a/src/dispatch/_job_state.ts
+++ b/src/dispatch/_job_state.ts
@@ -57,6 +57,8 @@
   remoteAfter: Map<string, number>;
   /** Job for which a worker is kept free. */
   kept: { id: string } | undefined;
+  /** Earliest time at which a service whose replicas share a domain is looked at again. */
+  respreadAfter: Map<string, number>;
   /** Refused placements in a row. */
   refusals: Map<string, number>;
   /** Attempts whose state must be asked of the worker's owner, by task. */
--- a/src/dispatch/_placing.ts
+++ b/src/dispatch/_placing.ts
@@ -9,11 +9,13 @@
 import type { Attempt, CommitAnswer, HoldAnswer, Job, Need, Place } from '../schema/mod.ts';
 import { isActive } from './_attempt_machine.ts';
 import {
+  activeAttempts,
   attemptOf,
   needOf,
   planAttempts,
   recordAttempts,
   recordEnd,
+  taskId,
   waitingTasks,
 } from './_job_model.ts';
 import { holderOf, note, replicasOf, schedule } from './_job_state.ts';
@@ -126,6 +128,18 @@
   }
 }
 
+/** Places that a job takes at a time: with spread, each depends on those before it. */
+function countOf(job: Job): number {
+  return job.spread === 'none' ? waitingTasks(job).length : 1;
+}
+
+/** A task id beyond those in use, for a replica beyond the wanted number. */
+export function spareTask(job: Job): string[] {
+  const used = new Set(activeAttempts(job).map(({ task }) => task));
+  const ids = Array.from({ length: job.tasks + used.size + 1 }, (_, i) => taskId(job.id, i));
+  return ids.filter((task) => !used.has(task)).slice(0, 1);
+}
+
 /** Places tasks on the workers of one peer. */
 export async function placeAtPeer(state: JobsState, { job, need }: { job: Job; need: Need }) {
   const { peerChoice, settings, clock, random } = state;
@@ -134,7 +148,7 @@
   const answer: Either<Failure, HoldAnswer> | undefined =
     member &&
     (await holderOf(state, member.id)?.hold({
-      ...{ hold, job: job.id, need, count: waitingTasks(job).length },
+      ...{ hold, job: job.id, need, count: countOf(job) },
       settings: settings.current().version,
     }));
   const places = answer?.toMaybe().extract()?.places ?? [];
@@ -213,7 +227,10 @@
 export function spreadNeed(state: JobsState, job: Job): Need {
   const need = needOf(job, { wall: state.clock.wall() });
   if (job.spread === 'none') return need;
-  const [step] = planService({ replicas: job.tasks, spread: job.spread }, replicasOf(state, job));
+  const replicas = replicasOf(state, job);
+  // One replica more than there are, so that the plan names a place also when none is missing.
+  const wanted = Math.max(job.tasks, replicas.length + 1);
+  const [step] = planService({ replicas: wanted, spread: job.spread }, replicas);
   const { avoidRacks = [], avoidDataCentres = [] } = step ?? {};
   return { ...need, avoidRacks, avoidDataCentres };
 }
--- a/src/dispatch/_rounds.ts
+++ b/src/dispatch/_rounds.ts
@@ -5,12 +5,14 @@
 import { Trial, planReservation } from '../decisions/mod.ts';
 import type { WaitingItem } from '../decisions/mod.ts';
 import { Kind } from '../errors/mod.ts';
-import type { Job } from '../schema/mod.ts';
+import type { Job, Need } from '../schema/mod.ts';
 import { note } from './_job_state.ts';
 import type { JobsState } from './_job_state.ts';
 import { launch, newHold, placeAtPeer, placeGang, placed, spreadNeed } from './_placing.ts';
+import { apartNeed, holdSpread } from './_spreading.ts';
 
 const defaultEstimateMs = 60_000;
+const spreadRetryMs = 250;
 
 /** Starts the asynchronous part of a placement; the job keeps its turn until that has ended. */
 function begin(state: JobsState, id: string, work: () => Promise<void>): void {
@@ -48,11 +50,24 @@
   Object.assign(state, { kept: undefined });
 }
 
+async function placeSpread(state: JobsState, { job, need }: { job: Job; need: Need }) {
+  const held = await holdSpread(state, { job, need });
+  if (held) return launch(state, { job, held: [held] });
+  note(state, job.id, 'waits: no member has room');
+  state.remoteAfter.set(job.id, state.clock.now() + spreadRetryMs * (0.5 + state.random()));
+  return undefined;
+}
+
 function tryHere(state: JobsState, { item, job }: { item: WaitingItem; job: Job }): Trial {
   const need = spreadNeed(state, job);
   const hold = newHold(state);
   const settings = state.settings.current().version;
-  const own = state.holds.hold({ hold, job: job.id, need, count: item.count, settings });
+  const spread = job.spread !== 'none';
+  // With spread, a place apart is taken first, wherever it is, and each depends on those before it.
+  const own = state.holds.hold({
+    ...{ hold, job: job.id, settings, count: spread ? 1 : item.count },
+    need: apartNeed(state, need) ?? need,
+  });
   const places = own.toMaybe().extract()?.places;
   if (places) {
     const member = state.membership.id();
@@ -63,6 +78,10 @@
   const teamHeld = failed.kind === Kind.TeamLimit;
   if (teamHeld) state.limits.want(job.team, item.count).catch(() => undefined);
   const due = (state.remoteAfter.get(item.id) ?? 0) <= state.clock.now();
+  if (due && spread) {
+    begin(state, item.id, () => placeSpread(state, { job, need }));
+    return Trial.NoRoom;
+  }
   if (due && state.peerChoice.choose(job.team)) {
     begin(state, item.id, () => placeAtPeer(state, { job, need }));
     return Trial.NoRoom;
--- a/src/dispatch/_upkeep.ts
+++ b/src/dispatch/_upkeep.ts
@@ -6,11 +6,12 @@
 import type { Job, StopQuestion } from '../schema/mod.ts';
 import { recordEnded } from './_ending.ts';
 import { isOver } from './_job_machine.ts';
-import { activeAttempts, taskId, waitingTasks } from './_job_model.ts';
+import { activeAttempts, waitingTasks } from './_job_model.ts';
 import { holderOf, note, replicasOf, schedule } from './_job_state.ts';
 import type { JobsState } from './_job_state.ts';
-import { launch, newHold, placed, spreadNeed } from './_placing.ts';
+import { launch, placed, spareTask, spreadNeed } from './_placing.ts';
 import { round } from './_rounds.ts';
+import { holdSpread, nextCrowded, respread } from './_spreading.ts';
 
 const tickMs = 250;
 const ticksPerCheck = 4;
@@ -112,23 +113,8 @@
 
 /** Starts a replica beyond the wanted number, so that one on a leaving host can be stopped. */
 async function surge(state: JobsState, job: Job): Promise<void> {
-  const own = state.membership.id();
-  const need = spreadNeed(state, job);
-  const { version } = state.settings.current();
-  const hold = newHold(state);
-  const question = { hold, job: job.id, need, count: 1, settings: version };
-  let held = await holderOf(state, own)?.hold(question);
-  let holder = own;
-  if (!held || held.isLeft()) {
-    holder = state.peerChoice.choose(job.team)?.id ?? own;
-    held = holder === own ? held : await holderOf(state, holder)?.hold(question);
-  }
-  const places = held?.toMaybe().extract()?.places ?? [];
-  if (places.length === 0) return;
-  const used = new Set(activeAttempts(job).map(({ task }) => task));
-  const ids = Array.from({ length: job.tasks + used.size + 1 }, (_, i) => taskId(job.id, i));
-  const tasks = ids.filter((task) => !used.has(task)).slice(0, 1);
-  await launch(state, { job, held: [{ member: holder, hold, places }], tasks });
+  const held = await holdSpread(state, { job, need: spreadNeed(state, job) });
+  if (held) await launch(state, { job, held: [held], tasks: spareTask(job) });
 }
 
 async function moveServices(state: JobsState): Promise<void> {
@@ -153,6 +139,8 @@
       .slice(0, rate)
       .map((job) => placed(state, { id: job.id, work: () => surge(state, job) })),
   );
+  const crowded = nextCrowded(state);
+  if (crowded) await placed(state, { id: crowded.id, work: () => respread(state, crowded) });
 }
 
 /** Moves tasks that can checkpoint out of data centres that are out of service. */
--- a/src/dispatch/jobs.ts
+++ b/src/dispatch/jobs.ts
@@ -172,6 +172,7 @@
     placing: new Set(),
     notBefore: new Map(),
     remoteAfter: new Map(),
+    respreadAfter: new Map(),
     kept: undefined,
     refusals: new Map(),
     doubtful: new Map(),
--- a/src/dispatch/jobs_test.ts
+++ b/src/dispatch/jobs_test.ts
@@ -131,6 +131,48 @@
   close();
 });
 
+test('replicas that share a rack although a peer has another would all be lost with it', async () => {
+  const { submit, clock, close, running, settings } = await makeFakeJobs({ policy: true });
+  const racks = () =>
+    running()
+      .map(({ worker }) => `r${worker[1]}`)
+      .sort();
+  const spread = 'rack';
+  (await submit({ kind: 'service', tasks: 3, spread })).unsafeCoerce();
+  await clock.advance(5_000);
+  assert.is(running().length, 3);
+  assert.equal([...new Set(racks())], ['r0', 'r1']);
+  // With one rack left, sharing it is better than not running.
+  const setOne = (inService: boolean) =>
+    settings.change((fleet) => Object.assign(fleet.dataCentres.dc1 ?? {}, { inService }));
+  setOne(false);
+  await clock.advance(20_000);
+  assert.equal(racks(), ['r0', 'r0', 'r0']);
+  setOne(true);
+  for (let i = 0; i < 100; i++) {
+    await clock.advance(200);
+    assert.ok(running().length >= 3 && running().length <= 4, 'one replica moves at a time');
+  }
+  assert.equal(racks(), ['r0', 'r0', 'r1']);
+  close();
+});
+
+test('a batch whose tasks are to be spread must use the data centres of all members', async () => {
+  const { submit, clock, close, running, endAll, job } = await makeFakeJobs({
+    units: [16, 16, 16],
+    policy: true,
+  });
+  const asked = { kind: 'batch', tasks: 6, spread: 'data-centre' } as const;
+  const { id } = (await submit(asked)).unsafeCoerce();
+  await clock.advance(5_000);
+  const centres = running().map(({ worker }) => worker[1]);
+  assert.equal(centres.sort(), ['0', '0', '1', '1', '2', '2']);
+  endAll();
+  await clock.advance(12_000);
+  assert.is((await job(id)).state, 'finished');
+  close();
+});
+
 test('tasks that can checkpoint must leave a data centre that goes out of service', async () => {
   const { submit, clock, close, running, settings } = await makeFakeJobs();
   (
