Hand a job over to a peer when this process owns no job partition

Cause: a process without partitions refused every submitted job with `not-owner`, for instance while partitions are handed over. Change: a message `submit`, validated by schema, goes to up to three owners of partitions; a peer without partitions refuses it, so there is one hop. A lost answer ends as `outcome-unknown`. With a request id the next peer is asked instead, since the row of the request id admits one job.

--- a/src/dispatch/jobs.ts
+++ b/src/dispatch/jobs.ts
@@ -11,11 +11,11 @@
 import { recordEnded, reportEnded } from './_ending.ts';
 import { makeHolds } from './_holds.ts';
 import { activeAttempts, recordCancel, taskId } from './_job_model.ts';
-import { earlierJob, makeJob } from './_job_requests.ts';
 import { makeJobRows, partitionOf } from './_job_rows.ts';
 import { memberOf, note, schedule } from './_job_state.ts';
 import type { JobParts, JobsState } from './_job_state.ts';
 import { round } from './_rounds.ts';
+import { submit, submitHanded } from './_submissions.ts';
 import { keepUp } from './_upkeep.ts';
 import type { Caller, Explanation } from './dispatch.ts';
 
@@ -28,7 +28,7 @@
   jobs(filter: { team?: string; state?: string }): Job[];
   explain(id: string): Explanation | undefined;
   /** Handlers of the messages that peers send about jobs. */
-  handlers: Pick<Peer, 'hold' | 'commit' | 'release' | 'stop' | 'attempt' | 'ended'>;
+  handlers: Pick<Peer, 'submit' | 'hold' | 'commit' | 'release' | 'stop' | 'attempt' | 'ended'>;
   dump(): unknown;
   close(): void;
 }
@@ -39,24 +39,6 @@
 // Rows are read again once a second.
 const recheckMs = 1_200;
 
-async function submit(
-  state: JobsState,
-  { caller, request }: { caller: Caller; request: JobRequest },
-): Outcome<Job> {
-  const made = makeJob(state, { caller, request });
-  const job = made.toMaybe().extract();
-  if (!job) return made;
-  const { request: id } = caller;
-  const key = id === undefined ? undefined : `requests/${caller.team}/${id}`;
-  const created = await state.rows.create(job, key);
-  const failed = created.swap().toMaybe().extract();
-  if (failed?.kind === Kind.TableConflict && key !== undefined) {
-    return earlierJob(state, { key, job });
-  }
-  created.ifRight((accepted) => schedule(state, accepted));
-  return created;
-}
-
 async function find(state: JobsState, { team, id }: { team: string; id: string }): Outcome<Job> {
   const own = state.rows.get(id);
   const found: Either<Failure, Job | undefined> = own ? Right(own) : await state.rows.read(id);
@@ -252,6 +234,7 @@
     },
     handlers: {
       ...holds,
+      submit: (question) => submitHanded(state, question),
       hold: async (question) => holds.hold(question),
       async stop(question) {
         const all = await Promise.all((question.jobs ?? []).map((id) => cancelOwn(state, id)));
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -17,10 +17,12 @@
   HandedLookup,
   HoldAnswer,
   HoldQuestion,
+  Job,
   LookupAnswer,
   Member,
   ReleaseQuestion,
   StopQuestion,
+  SubmitQuestion,
   WitnessAnswer,
   WitnessQuestion,
 } from '../schema/mod.ts';
@@ -39,6 +41,7 @@
   fresh(question: FreshQuestion, options?: CallOptions): Outcome<FreshAnswer>;
   lookup(question: HandedLookup, options?: CallOptions): Outcome<LookupAnswer>;
   witness(question: WitnessQuestion, options?: CallOptions): Outcome<WitnessAnswer>;
+  submit(question: SubmitQuestion, options?: CallOptions): Outcome<Job>;
   hold(question: HoldQuestion, options?: CallOptions): Outcome<HoldAnswer>;
   commit(question: CommitQuestion, options?: CallOptions): Outcome<CommitAnswer>;
   release(question: ReleaseQuestion, options?: CallOptions): Outcome<void>;
--- a/src/peers/router.ts
+++ b/src/peers/router.ts
@@ -18,6 +18,7 @@
   HoldQuestion,
   ReleaseQuestion,
   StopQuestion,
+  SubmitQuestion,
   Validator,
   WitnessQuestion,
 } from '../schema/mod.ts';
@@ -74,6 +75,7 @@
     fresh: answer<FreshQuestion, unknown>(validators.validateFreshQuestion, peer.fresh),
     lookup: answer<HandedLookup, unknown>(validators.validateHandedLookup, peer.lookup),
     witness: answer<WitnessQuestion, unknown>(validators.validateWitnessQuestion, peer.witness),
+    submit: answer<SubmitQuestion, unknown>(validators.validateSubmitQuestion, peer.submit),
     hold: answer<HoldQuestion, unknown>(validators.validateHoldQuestion, peer.hold),
     commit: answer<CommitQuestion, unknown>(validators.validateCommitQuestion, peer.commit),
     release: answer<ReleaseQuestion, unknown>(validators.validateReleaseQuestion, peer.release),
--- a/src/schema/_generated/types.ts
+++ b/src/schema/_generated/types.ts
@@ -263,6 +263,19 @@
   onlyDataCentres?: string[];
   onlyRacks?: string[];
 }
+/**
+ * A job that a process without job partitions hands over to a peer, once the caller's key was checked.
+ */
+export interface SubmitQuestion {
+  team: string;
+  queue: string;
+  /**
+   * Request id of the caller.
+   */
+  request?: string;
+  job: JobRequest;
+  settings: number;
+}
 /**
  * Asks a worker owner to hold room, and units of the team's limit, for up to `count` tasks of a job.
  */
--- a/src/testing/fake_jobs.ts
+++ b/src/testing/fake_jobs.ts
@@ -5,6 +5,7 @@
 import { makePlacementIndex, makeWaitingWork } from '../decisions/mod.ts';
 import { makeJobs } from '../dispatch/mod.ts';
 import type { Jobs } from '../dispatch/mod.ts';
+import type { Peer } from '../peers/mod.ts';
 import type { JobRequest } from '../schema/mod.ts';
 import { fakeTeam, fakeUpstream, makeFakeSettings } from './fake_fleet.ts';
 import { fakeMember, makeFakeProcess } from './fake_process.ts';
@@ -17,7 +18,8 @@
 
 /**
  * Makes processes with jobs over fake workers and a fake table; each owns two workers in a data
- * centre of its own. `units` gives the units of the team's limit that each process holds.
+ * centre of its own. `units` gives the units of the team's limit that each process holds,
+ * and the first `partitionOwners` processes (0: all) own the job partitions.
  *
  * @example
  * const { submit, clock } = await makeFakeJobs({ units: [16, 16] });
@@ -27,7 +29,9 @@
   seed = 3,
   policy = false,
   staleOwners = false,
+  partitionOwners = 0,
 } = {}) {
+  const owners = partitionOwners || units.length;
   const clock = makeVirtualClock();
   const random = makeRandom(seed);
   const workers = makeFakeWorkers({ clock });
@@ -37,14 +41,21 @@
   const settings = makeFakeSettings({ upstreams, teams: [fakeTeam('a', 100)] });
   const members = units.map((_, i) => fakeMember(`m${i}`));
   const store = makeFakeTable({ clock, random });
-  const shared = { clock, workers, settings, members, handlers: new Map(), random };
+  const shared = {
+    clock,
+    workers,
+    settings,
+    members,
+    handlers: new Map<string, Partial<Peer>>(),
+    random,
+  };
   const ownerOfWorker = (worker: string) => `m${worker[1]}`;
   /** Partitions that were read again; before, their owners are those of an earlier view. */
   const rechecked = new Set<number>();
   const ownerOfPartition = (partition: number) =>
     staleOwners && !rechecked.has(partition)
       ? `m${(partition + 1) % units.length}`
-      : `m${partition % units.length}`;
+      : `m${partition % owners}`;
   const recheck = ({ partitions = [] }: { partitions?: number[] }) =>
     partitions.forEach((partition) => rechecked.add(partition));
   const processes: (FakeProcess & { jobs: Jobs })[] = [];
@@ -56,9 +67,7 @@
       upstreams: own,
       units: { a: units[i] ?? 0 },
     });
-    const partitions = Array.from({ length: 64 }, (_, n) => n).filter(
-      (n) => n % units.length === i,
-    );
+    const partitions = Array.from({ length: 64 }, (_, n) => n).filter((n) => n % owners === i);
     partitions.forEach((n) => store.put(`partitions/${n}`, { epoch: 1, owner: `m${i}` }));
     const jobs = makeJobs({
       ...one,
@@ -95,6 +104,7 @@
     random,
     workers,
     settings,
+    handlers: shared.handlers,
     store,
     processes,
     first,
--- a/src/testing/fake_process.ts
+++ b/src/testing/fake_process.ts
@@ -60,6 +60,7 @@
 
 const questions: Partial<Record<keyof Peer, unknown>> = {
   lookup: validators.validateHandedLookup,
+  submit: validators.validateSubmitQuestion,
   hold: validators.validateHoldQuestion,
   commit: validators.validateCommitQuestion,
   stop: validators.validateStopQuestion,
