End jobs that no configured worker can hold any more

Cause: a job that became infeasible through a settings change, for instance when upstreams were removed, waited for ever. Change: after each settings change the owner of the partition checks its jobs again. A job without running tasks that stays infeasible for 60 s ends as failed with the reason; until then the explanation names it. Data centres out of service and leaving upstreams count as configured, since they come back.

--- /dev/null
+++ b/src/dispatch/_infeasible.ts
@@ -0,0 +1,43 @@
+/**
+ * Jobs that no configured worker can hold any more, after a change of the settings.
+ */
+import { isOver } from './_job_machine.ts';
+import { activeAttempts, recordInfeasible, waitingTasks } from './_job_model.ts';
+import { infeasibility } from './_job_requests.ts';
+import { note, schedule } from './_job_state.ts';
+import type { JobsState } from './_job_state.ts';
+
+// Upstreams that are removed by mistake, or replaced in two changes, come back within this time.
+const graceMs = 60_000;
+
+/** Ends waiting jobs that have been infeasible for the whole grace period. */
+export async function endInfeasible(state: JobsState): Promise<void> {
+  const { rows, clock, membership, settings, feasibility } = state;
+  if (!membership.isFresh()) return;
+  const { version } = settings.current();
+  const now = clock.now();
+  const jobs = rows.all().filter((job) => !isOver(job));
+  const ids = new Set(jobs.map(({ id }) => id));
+  feasibility.forEach((_known, id) => ids.has(id) || feasibility.delete(id));
+  const ending = jobs.flatMap((job) => {
+    const known = feasibility.get(job.id);
+    // A job is looked at again when the settings have changed.
+    const isKnown = known?.version === version;
+    const reason = isKnown ? known.reason : infeasibility(state, job)?.message;
+    const since = reason === undefined ? now : (known?.since ?? now);
+    feasibility.set(job.id, { version, ...(reason === undefined ? {} : { reason, since }) });
+    // A placement under way records no attempt of a job that is over.
+    if (reason === undefined || waitingTasks(job).length === 0) return [];
+    if (activeAttempts(job).length > 0) return [];
+    note(state, job.id, `ends in ${graceMs / 1_000} s unless the settings change: ${reason}`);
+    return now - since >= graceMs ? [{ id: job.id, reason }] : [];
+  });
+  await Promise.all(
+    ending.map(async ({ id, reason }) => {
+      const done = await rows.update(id, (job) =>
+        recordInfeasible(job, { reason, wall: clock.wall() }),
+      );
+      done.ifRight((job) => schedule(state, job));
+    }),
+  );
+}
--- a/src/dispatch/_job_model.ts
+++ b/src/dispatch/_job_model.ts
@@ -147,3 +147,12 @@
   const state = nextJobState(job.state, JobEvent.Cancel);
   return { ...job, cancel: true, state, reason: 'cancelled by the caller', endedAt: wall };
 }
+
+/** Ends a job that can never start again; undefined while it runs or when it is over. */
+export function recordInfeasible(
+  job: Job,
+  { reason, wall }: { reason: string; wall: number },
+): Job | undefined {
+  if (isOver(job) || activeAttempts(job).length > 0) return undefined;
+  return { ...job, state: nextJobState(job.state, JobEvent.Fail), reason, endedAt: wall };
+}
--- a/src/dispatch/_job_requests.ts
+++ b/src/dispatch/_job_requests.ts
@@ -36,7 +36,13 @@
   return undefined;
 }
 
-function checkGang(state: JobsState, { request, caller }: { request: JobRequest; caller: Caller }) {
+function checkGang(
+  state: JobsState,
+  {
+    request,
+    caller,
+  }: { request: Pick<JobRequest, 'kind' | 'tasks' | 'size' | 'across'>; caller: Caller },
+): Either<Failure, void> {
   const fleet = state.settings.current();
   const team = fleet.teams[caller.team];
   const { tasks = 1, across = 'fleet' } = request;
@@ -53,6 +59,18 @@
   );
 }
 
+/** Why no configured worker, or domain of a gang, could hold a job's tasks. */
+export function infeasibility(state: JobsState, job: Job): Failure | undefined {
+  const { team, queue, kind, size } = job;
+  const fleet = state.settings.current();
+  return findQueue(fleet, { team, queue, kind })
+    .chain((found) => checkSize(fleet, { queue: found, size }))
+    .chain(() => checkGang(state, { request: job, caller: { team, queue } }))
+    .swap()
+    .toMaybe()
+    .extract();
+}
+
 /** Checks a request and makes the job, without writing it. */
 export function makeJob(
   state: JobsState,
--- a/src/dispatch/_job_state.ts
+++ b/src/dispatch/_job_state.ts
@@ -59,6 +59,8 @@
   kept: { id: string } | undefined;
   /** Earliest time at which a service whose replicas share a domain is looked at again. */
   respreadAfter: Map<string, number>;
+  /** Settings version at which a job was last checked, and since when it can't run. */
+  feasibility: Map<string, { version: number; reason?: string; since?: number }>;
   /** Refused placements in a row. */
   refusals: Map<string, number>;
   /** Attempts whose state must be asked of the worker's owner, by task. */
--- a/src/dispatch/_upkeep.ts
+++ b/src/dispatch/_upkeep.ts
@@ -5,6 +5,7 @@
 import { planEvacuation, planService } from '../decisions/mod.ts';
 import type { Job, StopQuestion } from '../schema/mod.ts';
 import { recordEnded } from './_ending.ts';
+import { endInfeasible } from './_infeasible.ts';
 import { isOver } from './_job_machine.ts';
 import { activeAttempts, waitingTasks } from './_job_model.ts';
 import { holderOf, note, replicasOf, schedule } from './_job_state.ts';
@@ -208,6 +209,7 @@
         await Promise.all([...doubtful.keys()].map((task) => resolve(state, task)));
         await moveServices(state);
         await evacuate(state);
+        await endInfeasible(state);
       };
       // One slow peer must not hold up the next rounds.
       work().catch((error: unknown) => log.error('Upkeep failed.', { error: String(error) }));
--- a/src/dispatch/jobs.ts
+++ b/src/dispatch/jobs.ts
@@ -155,6 +155,7 @@
     notBefore: new Map(),
     remoteAfter: new Map(),
     respreadAfter: new Map(),
+    feasibility: new Map(),
     kept: undefined,
     refusals: new Map(),
     doubtful: new Map(),
--- a/src/dispatch/submissions_test.ts
+++ b/src/dispatch/submissions_test.ts
@@ -51,4 +51,39 @@
   close();
 });
 
+test('a job whose upstreams were removed must not wait for ever, nor end while they may come back', async () => {
+  const { submit, job, clock, close, settings } = await makeFakeJobs();
+  const fit = (processors: number) =>
+    settings.change((fleet) => {
+      Object.values(fleet.dataCentres).forEach((one) => Object.assign(one, { inService: false }));
+      Object.values(fleet.upstreams).forEach(({ capacity }) =>
+        Object.assign(capacity, { processors }),
+      );
+    });
+  fit(16);
+  const size = { processors: 10 };
+  const big = (await submit({ kind: 'batch', size })).unsafeCoerce();
+  const gang = (await submit({ kind: 'gang', tasks: 20 })).unsafeCoerce();
+  const small = (await submit({ kind: 'batch' })).unsafeCoerce();
+  const states = async () => [
+    (await job(big.id)).state,
+    (await job(gang.id)).state,
+    (await job(small.id)).state,
+  ];
+  await clock.advance(65_000);
+  assert.equal(await states(), ['waiting', 'waiting', 'waiting'], 'data centres come back');
+  fit(4);
+  await clock.advance(50_000);
+  fit(16);
+  await clock.advance(20_000);
+  fit(4);
+  await clock.advance(50_000);
+  assert.equal(await states(), ['waiting', 'waiting', 'waiting']);
+  await clock.advance(15_000);
+  assert.equal(await states(), ['failed', 'failed', 'waiting']);
+  assert.match((await job(big.id)).reason, 'no configured worker');
+  assert.match((await job(gang.id)).reason, 'a gang of 20');
+  close();
+});
+
 test.run();
