--- a/src/bench/_room_keeper.ts
+++ b/src/bench/_room_keeper.ts
@@ -14,6 +14,8 @@
   reserve(work: Work): void;
   release(): void;
   reserved(): string | undefined;
+  /** True when the reserved worker is closed to lookups as well, so that it empties in time. */
+  closedToLookups(): boolean;
   /** Workers that work with this expected end must not use. */
   closedFor(expectedEndAt: number): string[];
   reclaim(options: {
@@ -48,7 +50,6 @@
   const { cluster, hosts, all, runMs, boundMs } = parts;
   const total = fleetSize(cluster);
   let reservation: Reservation | undefined;
-  let former: string | undefined;
   let since: { id: string; at: number } | undefined;
 
   const heldWorkers = (): HeldWorker[] =>
@@ -57,53 +58,67 @@
       .map(({ candidate, runs }) => ({
         id: candidate.id,
         capacity: candidate.capacity,
-        tasks: [...runs].map((run) => ({
-          task: run.work.id,
-          size: run.work.size,
-          startedAt: run.startedAt,
-          expectedEndAt: run.startedAt + runMs(run.work, 0.9),
-          checkpoint: run.work.checkpoint,
-          service: run.work.kind === 'service' || run.work.kind === 'gang',
-        })),
+        // Lookups end by themselves and are never stopped.
+        tasks: [...runs]
+          .filter(({ work }) => work.kind !== 'lookup')
+          .map((run) => ({
+            task: run.work.id,
+            size: run.work.size,
+            startedAt: run.startedAt,
+            expectedEndAt: run.startedAt + runMs(run.work, 0.9),
+            checkpoint: run.work.checkpoint,
+            service: run.work.kind === 'service' || run.work.kind === 'gang',
+          })),
       }));
 
   const halt = (id: string, keep: boolean) => {
     const run = hosts.flatMap(({ runs }) => [...runs]).find(({ work }) => work.id === id);
-    const [place] = run?.places ?? [];
-    if (!run || !place || run.places.length > 1) return;
+    if (!run) return;
     const rest = cluster.stop(run, keep);
-    all()[0]?.released(run, place);
+    run.places.forEach((place) =>
+      all()
+        .find((process) => process.hosts.some(({ candidate }) => candidate.id === place.worker))
+        ?.released(run, place),
+    );
     all().forEach((process) => process.requeue(rest));
   };
 
   return {
     halt,
     reserved: () => reservation?.worker,
+    closedToLookups: () => since !== undefined && cluster.now() - since.at >= boundMs / 2,
     closedFor(expectedEndAt) {
       const worker = reservation?.worker;
       if (worker === undefined || mayBackfill(reservation, { worker, expectedEndAt })) return [];
       return [worker];
     },
     release() {
-      former = reservation?.worker ?? former;
+      const former = reservation;
       reservation = undefined;
+      since = undefined;
     },
     reserve(work) {
       const now = cluster.now();
-      if (since?.id !== work.id) since = { id: work.id, at: now };
+      if (since?.id !== work.id) {
+        since = { id: work.id, at: now };
+        reservation = undefined;
+      }
       const workers = heldWorkers();
+      const former = reservation;
       reservation = planReservation({ size: work.size, workers, now, former });
       const kept = reservation?.worker;
       if (kept === undefined || now - since.at < boundMs / 2) return;
       const only = workers.filter(({ id }) => id === kept);
-      planPreemption({ size: work.size, workers: only, now }).forEach(({ task, mode }) =>
-        halt(task, mode === 'checkpoint'),
-      );
+      // Work without a checkpoint gets more time to end before it is stopped.
+      const stopAllowed = now - since.at >= boundMs * 0.7;
+      planPreemption({ size: work.size, workers: only, now })
+        .filter(({ mode }) => mode === 'checkpoint' || stopAllowed)
+        .forEach(({ task, mode }) => halt(task, mode === 'checkpoint'));
     },
     reclaim({ waits, entitled, used }) {
       const part = (team: string) => entitled.get(team) ?? 0;
       const needy = waits
-        .map((team) => ({ team, missing: (part(team) * 0.9 - used(team)) / all().length }))
+        .map((team) => ({ team, missing: (part(team) * 0.97 - used(team)) / all().length }))
         .filter(({ missing }) => missing > 0);
       if (needy.length === 0) return;
       const tasks = hosts.flatMap(({ runs }) =>
@@ -116,7 +131,7 @@
           service: work.kind !== 'batch',
         })),
       );
-      planReclaim({ tasks, needy, used, entitled: part, maxTasks: 2 }).forEach(({ task }) =>
+      planReclaim({ tasks, needy, used, entitled: part, maxTasks: 6 }).forEach(({ task }) =>
         halt(task, true),
       );
     },
--- a/src/membership/freshness.ts
+++ b/src/membership/freshness.ts
@@ -59,6 +59,19 @@
   };
 }
 
+/**
+ * Notes the settings version in force here. It is known to exist from then on, also where no read of
+ * `head` has told it: a process that commits a change, or gets it from a peer, must not vouch for the
+ * version before.
+ *
+ * @example
+ * afterApplied(knowledge, settings.current().version);
+ */
+export function afterApplied(knowledge: Knowledge, version: number): Knowledge {
+  const applied = Math.max(knowledge.applied, version);
+  return { ...knowledge, applied, known: Math.max(knowledge.known, applied) };
+}
+
 /**
  * Extends freshness by an exchange with the table service that began at `begunAt` and returned `head`.
  *
@@ -108,7 +121,10 @@
       ? [begunAt + (answer.remainingMs ?? 0) * (1 - freshness.drift)]
       : [],
   );
-  const promised = given.every((answer) => answer?.verdict === 'promise');
+  // The process itself is a known member: while a commit of its own is unresolved, its settings may be
+  // the ones that were replaced, and it cannot count on the promises of the others.
+  const promised =
+    knowledge.committing === 0 && given.every((answer) => answer?.verdict === 'promise');
   const until = Math.max(
     knowledge.freshUntil,
     ...relays,
