Renew leases shorter than the renewal interval in time

Cause: a renewal is held open by the worker for 10 s, and the next one follows it. With lease_ms below that, every task that ran longer than its lease was stopped as expired and tried again, without any fault of the worker. Ruled out: expulsion and adoption; tasks on workers of processes that were never paused were stopped as well. Change: the interval is a third of the lease, at most 10 s as before. The default lease of 30 s keeps its interval of 10 s. Before: with lease_ms = 5000, batch tasks were stopped 5.0 s after their start, one job reached attempt 11 without finishing (pause_test.ts). After: the same test passes; each of the 12 jobs finishes once.

--- a/src/pool/_renewals.ts
+++ b/src/pool/_renewals.ts
@@ -11,6 +11,8 @@
 import type { Entry, PoolState } from './_state.ts';
 
 const renewEveryMs = 10_000;
+// A renewal that is held open for as long as the lease would let every task's lease expire.
+const renewalsPerLease = 3;
 const answerGraceMs = 3_000;
 // A renewal that arrives later than this is rejected by the worker, so that it extends no lease.
 const renewArrivalMs = 2_000;
@@ -64,17 +66,18 @@
   const sentAt = clock.now();
   const acknowledged = [...entry.acknowledged];
   const lease = leaseMs(state);
+  const everyMs = Math.min(renewEveryMs, lease / renewalsPerLease);
   const arriveBy = sentAt + renewArrivalMs;
   Object.assign(entry, { leaseUntil: Math.max(entry.leaseUntil, arriveBy + lease) });
   const answer = await withTimeout(
     workers.renew(entry.upstream, {
       epoch: entry.epoch,
       leaseMs: lease,
-      waitMs: renewEveryMs,
+      waitMs: Math.floor(everyMs),
       notAfterMs: workerTime(entry, arriveBy),
       ...(acknowledged.length > 0 ? { acknowledged } : {}),
     }),
-    { clock, ms: renewEveryMs + answerGraceMs },
+    { clock, ms: everyMs + answerGraceMs },
   );
   if (entry.closed.signal.aborted) return;
   const value = answer?.toMaybe().extract();
@@ -92,7 +95,7 @@
   }
   if (restarted || clock.now() - entry.lastListAt >= listEveryMs) await listTasks(state, entry);
   // A worker that does not hold renewals open answers at once.
-  const nextAt = sentAt + (value.changed.length > 0 ? renewSpacingMs : renewEveryMs);
+  const nextAt = sentAt + (value.changed.length > 0 ? renewSpacingMs : everyMs);
   if (nextAt > clock.now()) await clock.sleep(nextAt - clock.now(), entry.closed.signal);
 }
 
