End the processes of a deployment that fails to start

Cause: when the start of a deployment failed, its processes stayed, and their pipes kept the test process alive until its timeout. Change: a failed start ends all processes, and so does the end of the parent process. Sites take policy keys, callers send a request id with jobs, and waitFor is exported for tests. Conclusion: tests with real processes leave none behind.

--- a/src/deployment/_child.ts
+++ b/src/deployment/_child.ts
@@ -30,6 +30,11 @@
 const ending = path.extname(self);
 const loader = ending === '.ts' ? ['--import', 'tsx'] : [];
 
+const running = new Set<ChildProcess>();
+
+// A test or benchmark that ends early leaves no processes behind.
+process.once('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+
 function programPath(name: string): string {
   return path.join(path.dirname(self), '..', 'bin', `${name}${ending}`);
 }
@@ -55,8 +60,12 @@
   };
   child.stdout.on('data', read);
   child.stderr.on('data', read);
+  running.add(child);
   const ended = new Promise<number | null>((resolve) => {
-    child.once('exit', (code) => resolve(code));
+    child.once('exit', (code) => {
+      running.delete(child);
+      resolve(code);
+    });
   });
   return {
     process: child,
--- a/src/deployment/callers.ts
+++ b/src/deployment/callers.ts
@@ -20,7 +20,7 @@
     body: Record<string, unknown>,
     options?: { request?: string; key?: string },
   ): Promise<CallerAnswer>;
-  submit(job: Record<string, unknown>): Promise<CallerAnswer>;
+  submit(job: Record<string, unknown>, options?: { request?: string }): Promise<CallerAnswer>;
   job(id: string): Promise<CallerAnswer>;
   result(id: string): Promise<CallerAnswer>;
   cancel(id: string): Promise<CallerAnswer>;
@@ -67,7 +67,7 @@
   const job = (id: string) => send(`/v1/jobs/${id}`);
   return {
     lookup: (body, rest = {}) => send('/v1/lookups', { method: 'POST', body, ...rest }),
-    submit: (body) => send('/v1/jobs', { method: 'POST', body }),
+    submit: (body, rest = {}) => send('/v1/jobs', { method: 'POST', body, ...rest }),
     job,
     result: (id) => send(`/v1/jobs/${id}/result`),
     cancel: (id) => send(`/v1/jobs/${id}`, { method: 'DELETE' }),
--- a/src/deployment/deployment.ts
+++ b/src/deployment/deployment.ts
@@ -44,6 +44,16 @@
 const pollMs = 100;
 const settleTimeoutMs = 30_000;
 
+/** How the processes of a deployment run. */
+export interface DeploymentOptions {
+  clock: Clock;
+  /** Entry processes exit with code 70 on a violated invariant. */
+  fatal?: boolean;
+  nodeArgs?: string[];
+}
+
+type BuildOptions = DeploymentOptions & { folder: string; children: Child[] };
+
 interface Listening {
   address: string;
   ports: number[];
@@ -59,7 +69,13 @@
   return JSON.parse(line) as { callers: number; operators: number };
 }
 
-async function waitFor(
+/**
+ * Polls until the check holds; a check that throws does not hold yet.
+ *
+ * @example
+ * await waitFor(isReady, { clock: systemClock, timeoutMs: 10_000, what: 'the process is ready' });
+ */
+export async function waitFor(
   check: () => Promise<boolean>,
   { clock, timeoutMs, what }: { clock: Clock; timeoutMs: number; what: string },
 ): Promise<void> {
@@ -87,19 +103,14 @@
   ].join('\n');
 }
 
-/**
- * Starts a deployment and applies its first settings.
- *
- * @example
- * const deployment = await startDeployment(site, { clock: systemClock });
- * await deployment.stop();
- */
-export async function startDeployment(
-  site: Site,
-  { clock, fatal = true, nodeArgs = [] }: { clock: Clock; fatal?: boolean; nodeArgs?: string[] },
-): Promise<Deployment> {
-  const folder = mkdtempSync(path.join(tmpdir(), 'dogwood-'));
-  const children: Child[] = [];
+async function endAll(children: Child[], folder: string): Promise<void> {
+  children.forEach(({ process: child }) => child.kill('SIGKILL'));
+  await Promise.all(children.map(({ ended }) => ended));
+  rmSync(folder, { recursive: true, force: true });
+}
+
+async function build(site: Site, options: BuildOptions): Promise<Deployment> {
+  const { clock, fatal = true, nodeArgs = [], folder, children } = options;
   const start = (name: string, args: string[], extra: string[] = []) => {
     const child = startProgram(name, args, { clock, nodeArgs: extra });
     children.push(child);
@@ -214,10 +225,24 @@
     async control(address, fields) {
       await fetch(`${address}/_control`, { method: 'POST', body: JSON.stringify(fields) });
     },
-    async stop() {
-      children.forEach(({ process: child }) => child.kill('SIGKILL'));
-      await Promise.all(children.map(({ ended }) => ended));
-      rmSync(folder, { recursive: true, force: true });
-    },
+    stop: () => endAll(children, folder),
   };
 }
+
+/**
+ * Starts a deployment and applies its first settings. When that fails, all its processes are ended.
+ *
+ * @example
+ * const deployment = await startDeployment(site, { clock: systemClock });
+ * await deployment.stop();
+ */
+export async function startDeployment(site: Site, options: DeploymentOptions): Promise<Deployment> {
+  const folder = mkdtempSync(path.join(tmpdir(), 'dogwood-'));
+  const children: Child[] = [];
+  try {
+    return await build(site, { ...options, folder, children });
+  } catch (error) {
+    await endAll(children, folder);
+    throw error;
+  }
+}
--- a/src/deployment/site.ts
+++ b/src/deployment/site.ts
@@ -25,6 +25,8 @@
   capacity: Size;
   teams: SiteTeam[];
   entries: number;
+  /** Keys of `[policy]` in `fleet.ini`; the defaults where absent. */
+  policy?: Record<string, number>;
 }
 
 /** A worker with its place in the site. */
@@ -80,8 +82,10 @@
   ports: Record<string, number>,
 ): Promise<SiteSettings> {
   const operator = await issueKey({ owner: 'operator', id: 'ops' });
+  const rules = Object.entries(site.policy ?? {}).map(([key, value]) => `${key} = ${value}\n`);
+  const policy = rules.length > 0 ? `\n[policy]\n${rules.join('')}` : '';
   const files: Record<string, string> = {
-    'fleet.ini': `[operator.ops]\nsalt = ${operator.salt}\nhash = ${operator.hash}\n`,
+    'fleet.ini': `[operator.ops]\nsalt = ${operator.salt}\nhash = ${operator.hash}\n${policy}`,
   };
   site.dataCentres.forEach(({ name, region }) => {
     files[`data-centres/${name}.ini`] = `region = ${region}\nin_service = yes\n`;
