Test failures of real processes

The outage in the test lasts 15 s, because a job may wait 10 s for its commit and could otherwise be accepted at the end of the outage.

--- /dev/null
+++ b/src/deployment/programs_test.ts
@@ -0,0 +1,195 @@
+import { readFileSync, mkdtempSync, rmSync, writeFileSync, mkdirSync } from 'node:fs';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { fetch } from 'undici';
+
+import { systemClock } from '../clock/mod.ts';
+import { issueKey } from '../keys/mod.ts';
+import { assertInvariants, generousMs, startSmallSite, stopSites } from '../testing/small_site.ts';
+import { runProgram, startProgram } from './_child.ts';
+import type { Child } from './_child.ts';
+import { waitFor } from './mod.ts';
+import type { EntryProcess } from './mod.ts';
+
+const inMs = { clock: systemClock, timeoutMs: generousMs };
+const folder = mkdtempSync(path.join(tmpdir(), 'dogwood-programs-'));
+const children: Child[] = [];
+const usageCode = 2;
+
+/** Holds a free port until it is released. */
+async function takePort(): Promise<{ port: number; release: () => Promise<void> }> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  const release = () =>
+    new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+  return { port, release };
+}
+
+async function freePort(): Promise<number> {
+  const { port, release } = await takePort();
+  await release();
+  return port;
+}
+
+function writeEntry(name: string, options: { callers?: number; table: number }): string {
+  const { callers = 0, table } = options;
+  const sections = { callers, peers: 0, operators: 0, table, objects: 1, hosts: 1 };
+  const text = Object.entries(sections)
+    .map(([section, port]) => `[${section}]\naddress = 127.0.0.1\nport = ${port}\n`)
+    .join('\n');
+  const file = path.join(folder, `${name}.ini`);
+  writeFileSync(file, `[process]\nname = ${name}\ndata_centre = north\nregion = island\n\n${text}`);
+  return file;
+}
+
+function start(name: string, args: string[]): Child {
+  const child = startProgram(name, args, { clock: systemClock });
+  children.push(child);
+  return child;
+}
+
+test('the loser of a race between operators could overwrite a change it has not seen', async () => {
+  const deployment = await startSmallSite();
+  const { entries } = deployment;
+  const other = await issueKey({ owner: 'operator', id: 'rua' });
+  const edit = async (name: string, change: (tree: string) => void) => {
+    const tree = path.join(deployment.folder, name);
+    const shown = await deployment.operator(['show', '--dir', tree]);
+    assert.is(shown.code, 0, shown.stderr);
+    change(tree);
+    return tree;
+  };
+  const fleet = (tree: string) => path.join(tree, 'fleet.ini');
+  const named = await edit('named', (tree) => {
+    const section = `[operator.rua]\nsalt = ${other.salt}\nhash = ${other.hash}\n`;
+    writeFileSync(fleet(tree), `${readFileSync(fleet(tree), 'utf8')}\n${section}`);
+  });
+  const applied = await deployment.operator(['apply', named]);
+  assert.is(applied.code, 0, applied.stderr);
+  const inForce = async () =>
+    (await Promise.all(entries.map(deployment.state))).every(
+      ({ settings }) => (settings as { version: number }).version === 2,
+    );
+  await waitFor(inForce, { ...inMs, what: 'both operators are known everywhere' });
+  const setLimit = (team: string) => (tree: string) =>
+    writeFileSync(path.join(tree, `teams/${team}/team.ini`), 'share = 2\nlimit = 5\n');
+  const trees = [await edit('ops', setLimit('many')), await edit('rua', setLimit('few'))] as const;
+  const races = await Promise.all([
+    deployment.operator(['apply', trees[0]], { entry: entries[0] as EntryProcess }),
+    deployment.operator(['apply', trees[1], '--key', other.key], {
+      entry: entries[1] as EntryProcess,
+    }),
+  ]);
+  assert.equal(races.map(({ code }) => code).sort(), [0, 1], JSON.stringify(races));
+  const opsWon = races[0].code === 0;
+  const loser = opsWon ? races[1] : races[0];
+  const [by, file] = opsWon ? ['ops', 'teams/many/team.ini'] : ['rua', 'teams/few/team.ini'];
+  assert.match(loser.stderr, 'settings-conflict');
+  assert.match(loser.stderr, by);
+  assert.match(loser.stderr, file);
+  const history = await deployment.operator(['history']);
+  assert.match(history.stdout, file);
+  assert.not.match(history.stdout, opsWon ? 'teams/few' : 'teams/many/team.ini  ');
+  await assertInvariants(deployment, entries);
+});
+
+test('a port in use could leave a process running that no caller reaches', async () => {
+  const { port, release } = await takePort();
+  const file = writeEntry('taken', { callers: port, table: await freePort() });
+  const entry = await runProgram('entry', ['--settings', file]);
+  const standin = await runProgram('standin', ['table', '--port', `${port}`]);
+  await release();
+  assert.is(entry.code, 1);
+  assert.match(entry.stderr, `127.0.0.1:${port} of section [callers] is in use`);
+  assert.is.not(standin.code, 0);
+  assert.match(standin.stderr, `${port}`);
+});
+
+test('a wrong entry.ini could start a process with settings that nobody chose', async () => {
+  const missing = path.join(folder, 'missing.ini');
+  const unreadable = path.join(folder, 'a-folder.ini');
+  mkdirSync(unreadable);
+  const invalid = path.join(folder, 'invalid.ini');
+  writeFileSync(invalid, '[process]\nname = Not A Name\n\n[callers]\nport = many\n');
+  const [none, noFile, noText, wrong] = await Promise.all([
+    runProgram('entry', []),
+    runProgram('entry', ['--settings', missing]),
+    runProgram('entry', ['--settings', unreadable]),
+    runProgram('entry', ['--settings', invalid]),
+  ]);
+  assert.is.not(none.code, 0);
+  assert.match(none.stderr, 'settings');
+  assert.is(noFile.code, usageCode);
+  assert.match(noFile.stderr, `cannot read ${missing}`);
+  assert.is(noText.code, usageCode);
+  assert.match(noText.stderr, `cannot read ${unreadable}`);
+  assert.is(wrong.code, usageCode);
+  assert.match(wrong.stderr, 'port');
+  assert.match(wrong.stderr, 'many');
+  assert.not.match(wrong.stderr, '    at ');
+});
+
+test('a process started before the table service could end, or take work that it may not run', async () => {
+  const port = await freePort();
+  const entry = start('entry', ['--settings', writeEntry('early', { table: port })]);
+  const { operators, callers } = await entry.line((line) =>
+    line.includes('The process has started.')
+      ? (JSON.parse(line) as { operators: number; callers: number })
+      : undefined,
+  );
+  const ask = async (where: string) => (await fetch(`http://127.0.0.1:${where}`)).status;
+  await entry.line((line) => line.includes('could not be loaded') || undefined);
+  assert.is(await ask(`${operators}/healthz`), 200);
+  assert.is(await ask(`${operators}/readyz`), 503);
+  const lookup = await fetch(`http://127.0.0.1:${callers}/v1/lookups`, {
+    method: 'POST',
+    headers: { authorization: 'Bearer dwt_none', 'x-team': 'many' },
+    body: '{}',
+  });
+  assert.is(lookup.status, 503);
+  assert.match(await lookup.text(), '"ran":"no"');
+  start('standin', ['table', '--port', `${port}`]);
+  await waitFor(async () => (await ask(`${operators}/readyz`)) === 200, {
+    ...inMs,
+    what: 'the process is ready',
+  });
+  entry.process.kill('SIGTERM');
+  assert.is(await entry.ended, 0, entry.output());
+});
+
+test('dogwood without a server could say that a change is made, or hang', async () => {
+  const port = await freePort();
+  const server = `http://127.0.0.1:${port}`;
+  const env = { DOGWOOD_KEY: 'dwo_none' };
+  const [show, set, noKey] = await Promise.all([
+    runProgram('operator', ['show', '--server', server], { env }),
+    runProgram('operator', ['team', 'set', 'many', '--limit', '5', '--server', server], { env }),
+    runProgram('operator', ['show', '--server', server], { env: { DOGWOOD_KEY: '' } }),
+  ]);
+  [show, set].forEach(({ code, stdout, stderr }) => {
+    assert.is(code, 3);
+    assert.is(stdout, '');
+    assert.match(stderr, `no entry process answers at ${server}`);
+    assert.not.match(stderr, 'may have taken effect');
+  });
+  assert.is(noKey.code, usageCode);
+  assert.match(noKey.stderr, 'an operator key is needed');
+});
+
+test.after(async () => {
+  children.forEach(({ process: child }) => child.kill('SIGKILL'));
+  await Promise.all(children.map(({ ended }) => ended));
+  await stopSites();
+  rmSync(folder, { recursive: true, force: true });
+});
+test.run();
--- /dev/null
+++ b/src/deployment/table_outage_test.ts
@@ -0,0 +1,156 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { systemClock } from '../clock/mod.ts';
+import type { Job } from '../schema/mod.ts';
+import { assertTruthful, startLookups, submitUntilAccepted } from '../testing/process_load.ts';
+import type { SentLookup } from '../testing/process_load.ts';
+import {
+  assertFinishedOnce,
+  assertInvariants,
+  callerOf,
+  generousMs,
+  readStarts,
+  scanTable,
+  startSmallSite,
+  stopSites,
+} from '../testing/small_site.ts';
+import type { CallerAnswer, Deployment, EntryProcess } from './mod.ts';
+import { waitFor } from './mod.ts';
+
+// Longer than the 10 s for which an accepted job may wait for its commit.
+const outageMs = 15_000;
+const inMs = { clock: systemClock, timeoutMs: generousMs };
+const ended = ['finished', 'failed', 'cancelled'];
+let deployment: Deployment;
+// Lookups sent while the table service was down, with the time since then; the next test judges them.
+const outage: { lookups: SentLookup[] } = { lookups: [] };
+
+const isTableUp = () =>
+  scanTable(deployment, 'head').then(
+    () => true,
+    () => false,
+  );
+
+test.before(async () => {
+  deployment = await startSmallSite();
+});
+
+function assertNotRun({ status, body }: CallerAnswer): void {
+  const { kind, ran } = body.error as { kind: string; ran: string };
+  assert.equal({ status, kind, ran }, { status: 503, kind: 'table-unavailable', ran: 'no' });
+}
+
+/** Submits one job at each process. */
+function submitAtAll(entries: EntryProcess[]): Promise<CallerAnswer[]> {
+  return Promise.all(
+    entries.map((entry, i) =>
+      callerOf(deployment, { entry, team: 'many' }).submit({
+        kind: 'batch',
+        body: { runMs: 20, answer: `refused-${i}` },
+      }),
+    ),
+  );
+}
+
+test('an outage of the table service could lose or repeat accepted work, or accept some in part', async () => {
+  const { entries } = deployment;
+  const answers = Array.from({ length: 6 }, (_, i) => `outage-${i}`);
+  const ids = await Promise.all(
+    answers.map((answer, i) =>
+      submitUntilAccepted(deployment, {
+        entries: [entries[i % entries.length] as EntryProcess],
+        team: 'many',
+        answer,
+        runMs: 2_000 + 1_000 * i,
+      }),
+    ),
+  );
+  const running = async () =>
+    (await readStarts(deployment)).filter(({ kind }) => kind === 'batch').length === answers.length;
+  await waitFor(running, { ...inMs, what: 'all batch tasks run' });
+  const load = startLookups(deployment, { entries, team: 'many' });
+  const outageFrom = systemClock.now();
+  await deployment.control(deployment.table, { refuseMs: outageMs });
+  await waitFor(async () => !(await isTableUp()), { ...inMs, what: 'the table service is down' });
+  const edit = deployment.operator(['team', 'set', 'many', '--limit', '39']);
+  const submits = await submitAtAll(entries);
+  const change = await edit;
+  assert.not(await isTableUp(), 'the outage covers all refused requests');
+  await waitFor(isTableUp, { ...inMs, what: 'the table service is up' });
+  const outageUntil = systemClock.now();
+  await Promise.all(
+    ids.map((id, i) =>
+      callerOf(deployment, {
+        entry: entries[i % entries.length] as EntryProcess,
+        team: 'many',
+      }).until(id, ended, { timeoutMs: generousMs }),
+    ),
+  );
+  await load.stop();
+  const starts = await readStarts(deployment);
+  assert.ok(submits.length > 0);
+  submits.forEach(assertNotRun);
+  assert.is(change.code, 1, change.stderr);
+  assert.match(change.stderr, /table-unavailable|settings-blocked/);
+  assert.not.match(change.stderr, 'may have taken effect');
+  assert.not(starts.some(({ answer }) => String(answer).startsWith('refused-')));
+  outage.lookups = load.sent
+    .filter(({ sentAt }) => sentAt >= outageFrom && sentAt <= outageUntil)
+    .map((lookup) => ({ ...lookup, sentAt: lookup.sentAt - outageFrom }));
+  assertTruthful(load.sent, starts);
+  assertFinishedOnce(starts, answers);
+  await assertInvariants(deployment, entries);
+  const { stdout } = await deployment.operator(['team', 'list']);
+  assert.not.match(stdout, /many\s.*39/);
+});
+
+test('an outage of the table service could stop lookups', () => {
+  const unanswered = outage.lookups
+    .filter(({ result }) => result?.status !== 200)
+    .map(
+      ({ entry, sentAt, result, broken }) =>
+        `${entry.name} after ${Math.round(sentAt)} ms: ${result?.kind ?? broken}`,
+    );
+  assert.ok(outage.lookups.length > 0, 'lookups were sent');
+  assert.equal(unanswered, []);
+});
+
+test('a lost answer of the table service could make one submitted job two', async () => {
+  const { entries } = deployment;
+  let submitting = true;
+  const loseAnswers = async () => {
+    while (submitting) {
+      await deployment.control(deployment.table, { lose: 1 });
+      await systemClock.sleep(100);
+    }
+    await deployment.control(deployment.table, { lose: 0 });
+  };
+  const losing = loseAnswers();
+  const answers = Array.from({ length: 30 }, (_, i) => `lost-${i}`);
+  const ids: string[] = [];
+  const submitters = entries.map(async (_, first) => {
+    const own = answers.filter((__, i) => i % entries.length === first);
+    const order = [...entries.slice(first), ...entries.slice(0, first)];
+    for (const answer of own) {
+      ids.push(
+        await submitUntilAccepted(deployment, { entries: order, team: 'many', answer, runMs: 50 }),
+      );
+    }
+  });
+  await Promise.all(submitters);
+  submitting = false;
+  await losing;
+  const caller = callerOf(deployment, { entry: entries[0] as EntryProcess, team: 'many' });
+  await Promise.all(ids.map((id) => caller.until(id, ended, { timeoutMs: generousMs })));
+  const jobs = (await scanTable(deployment, 'jobs/'))
+    .map(({ value }) => value as Job)
+    .filter(({ request = '' }) => request.startsWith('lost-'));
+  assert.equal(jobs.map(({ request }) => request).sort(), [...answers].sort());
+  assert.equal(jobs.map(({ id }) => id).sort(), [...ids].sort());
+  assertFinishedOnce(await readStarts(deployment), answers);
+  await assertInvariants(deployment, entries);
+});
+
+test.after(stopSites);
+test.run();
