--- a/src/bench/_room_keeper.ts
+++ b/src/bench/_room_keeper.ts
@@ -97,6 +97,7 @@
       since = undefined;
     },
     reserve(work) {
+      const former = reservation;
       const now = cluster.now();
       if (since?.id !== work.id) {
         since = { id: work.id, at: now };
