--- a/src/bench/share.ts
+++ b/src/bench/share.ts
@@ -15,6 +15,7 @@
 // The target's runs are shorter, so that ten seeds take less than two minutes.
 const horizonFor = (workers: number) => (workers > 100 ? 150_000 : 600_000);
 const sampleMs = 5_000;
+const maxMisplaced = 12;
 
 function addWork(sums: Map<string, number[]>, work: Work, count: number): void {
   const sum = sums.get(work.team) ?? [0, 0, 0, 0];
@@ -56,7 +57,7 @@
 
 export const share: Experiment = {
   title: 'distance from the shares of teams, at 1.5 of the room, with demand that changes',
-  failsWhen: 'more use is with the wrong team than by any baseline without shares or digest',
+  failsWhen: `over ${maxMisplaced}% of the use, or over half of FIFO's, is with the wrong team, or more than by any baseline`,
   variants: ['policy', 'one process', 'no digest', 'fifo first fit', 'greedy random'],
   deployments: deploymentNames,
   measure({ deployment: name, variant, seed }) {
@@ -92,8 +93,12 @@
     [...new Set(series.map(({ deployment }) => deployment))].flatMap((deployment) => {
       const value = 'use with wrong team %';
       const own = meanOf(series, { deployment, variant: 'policy', value });
-      return ['no digest', 'fifo first fit', 'greedy random']
+      const failures = ['no digest', 'fifo first fit', 'greedy random']
         .filter((variant) => own >= meanOf(series, { deployment, variant, value }))
         .map((variant) => `${deployment}: no nearer to share than ${variant}`);
+      const fifo = meanOf(series, { deployment, variant: 'fifo first fit', value });
+      if (own > Math.min(maxMisplaced, fifo / 2))
+        failures.push(`${deployment}: ${own.toFixed(1)}%`);
+      return failures;
     }),
 };
--- a/src/bench/waiting.ts
+++ b/src/bench/waiting.ts
@@ -27,7 +27,7 @@
 
 export const waiting: Experiment = {
   title: 'waiting time at 0.9 of the room',
-  failsWhen: 'fewer than 99.5% of lookups start in time, or 3% less work is done than by FIFO',
+  failsWhen: 'fewer than 99.5% of lookups start in time, or less work is done than by FIFO',
   variants: ['policy', 'no kept room', 'no reservation', 'fifo first fit', 'greedy random'],
   deployments: deploymentNames,
   measure({ deployment: name, variant, seed }) {
@@ -42,7 +42,7 @@
       const of = (variant: string, value: string) => meanOf(series, { deployment, variant, value });
       const failures: string[] = [];
       if (of('policy', 'lookups in time %') < 99.5) failures.push(`${deployment}: late lookups`);
-      if (of('policy', 'work done core-h') < 0.97 * of('fifo first fit', 'work done core-h')) {
+      if (of('policy', 'work done core-h') < of('fifo first fit', 'work done core-h')) {
         failures.push(`${deployment}: less work done than by FIFO`);
       }
       return failures;
--- a/src/dispatch/_job_model.ts
+++ b/src/dispatch/_job_model.ts
@@ -1,6 +1,7 @@
 /**
  * Pure functions on job rows: which tasks wait, and how attempts and ends change a job.
  */
+import type { Fleet } from '../settings/mod.ts';
 import type { Attempt, Ended, Job, Need, Place } from '../schema/mod.ts';
 import { AttemptEvent, isActive, nextAttemptState } from './_attempt_machine.ts';
 import { JobEvent, isOver, nextJobState } from './_job_machine.ts';
@@ -35,11 +36,19 @@
   return job.kind === 'gang' && open.length > 0 ? ids : open;
 }
 
+/** Data centres that the queue of a job is limited to; undefined for any. */
+export function allowedDataCentres({ team, queue }: Job, fleet: Fleet): string[] | undefined {
+  const { dataCentres = [] } = fleet.teams[team]?.queues[queue] ?? {};
+  return dataCentres.length > 0 ? dataCentres : undefined;
+}
+
 /** The need of one task. */
-export function needOf(job: Job, options: { wall: number }): Need {
+export function needOf(job: Job, options: { wall: number; fleet: Fleet }): Need {
   const { team, queue, kind, size, estimateMs, spread, across, deadlineAt, submittedAt } = job;
+  const onlyDataCentres = allowedDataCentres(job, options.fleet);
   return {
     ...{ team, queue, kind, size, estimateMs, spread, across },
+    ...(onlyDataCentres ? { onlyDataCentres } : {}),
     waitedMs: Math.max(0, options.wall - submittedAt),
     ...(deadlineAt === undefined ? {} : { deadlineMs: deadlineAt - options.wall }),
   };
--- a/src/dispatch/_job_state.ts
+++ b/src/dispatch/_job_state.ts
@@ -100,7 +100,7 @@
   waiting.add({
     id: job.id,
     team: job.team,
-    need: needOf(job, times),
+    need: needOf(job, { wall: times.wall, fleet: state.settings.current() }),
     count,
     gang: job.kind === 'gang',
     enqueuedAt: times.now - Math.max(0, times.wall - job.submittedAt),
--- a/src/dispatch/_placing.ts
+++ b/src/dispatch/_placing.ts
@@ -10,6 +10,7 @@
 import { isActive } from './_attempt_machine.ts';
 import {
   activeAttempts,
+  allowedDataCentres,
   attemptOf,
   needOf,
   planAttempts,
@@ -168,7 +169,7 @@
   { job, domain }: { job: Job; domain: Partial<Need> },
 ): Promise<HeldPlaces[] | undefined> {
   const { membership, settings, clock } = state;
-  const need = { ...needOf(job, { wall: clock.wall() }), ...domain };
+  const need = { ...needOf(job, { wall: clock.wall(), fleet: settings.current() }), ...domain };
   const members = membership
     .view()
     .members.map(({ id }) => id)
@@ -195,8 +196,13 @@
 }
 
 /** Sets of hosts that a gang may lie within. */
-function gangDomains(state: JobsState, { across }: Job): Partial<Need>[] {
-  const upstreams = Object.values(state.settings.current().upstreams);
+function gangDomains(state: JobsState, job: Job): Partial<Need>[] {
+  const { across } = job;
+  const fleet = state.settings.current();
+  const allowed = allowedDataCentres(job, fleet);
+  const upstreams = Object.values(fleet.upstreams).filter(
+    ({ dataCentre }) => allowed?.includes(dataCentre) ?? true,
+  );
   if (across === 'fleet') return [{}];
   const field = across === 'rack' ? 'rack' : 'dataCentre';
   const names = [...new Set(upstreams.map((upstream) => upstream[field]))];
@@ -225,7 +231,7 @@
 
 /** The need of a job's next task, away from the tasks that run where it is to be spread. */
 export function spreadNeed(state: JobsState, job: Job): Need {
-  const need = needOf(job, { wall: state.clock.wall() });
+  const need = needOf(job, { wall: state.clock.wall(), fleet: state.settings.current() });
   if (job.spread === 'none') return need;
   const replicas = replicasOf(state, job);
   // One replica more than there are, so that the plan names a place also when none is missing.
--- a/src/dispatch/jobs_test.ts
+++ b/src/dispatch/jobs_test.ts
@@ -46,6 +46,20 @@
   close();
 });
 
+test('jobs of a queue limited to data centres must not run in another one', async () => {
+  const { submit, running, clock, close, settings } = await makeFakeJobs({ policy: true });
+  const queue = settings.current().teams.a?.queues.main;
+  if (queue) queue.dataCentres = ['dc1'];
+  (await submit({ kind: 'batch', tasks: 4 })).unsafeCoerce();
+  (await submit({ kind: 'gang', tasks: 3, across: 'data-centre' })).unsafeCoerce();
+  (await submit({ kind: 'service', tasks: 2, spread: 'rack' })).unsafeCoerce();
+  await clock.advance(10_000);
+  const places = new Set(running().map(({ worker }) => worker.slice(0, 2)));
+  assert.equal([...places], ['w1']);
+  assert.is(running().length, 9);
+  close();
+});
+
 test('an end reported to a former owner of the partition must still reach the job', async () => {
   const { submit, job, endAll, clock, close } = await makeFakeJobs({ staleOwners: true });
   const { id } = (await submit({ kind: 'batch', tasks: 3 })).unsafeCoerce();
