Use one table model and one retry budget

Cause: the simulated table of the soak repeated the table model of src/table, and dispatch had a second token bucket beside the one of the writer lane. Change: the model takes an observer of writes and serves both; dispatch uses the writer's budget with its own capacity and rate.

--- a/src/dispatch/_ending.ts
+++ b/src/dispatch/_ending.ts
@@ -13,7 +13,7 @@
 import { partitionOf } from './_job_rows.ts';
 import { memberOf, note, schedule } from './_job_state.ts';
 import type { JobsState } from './_job_state.ts';
-import { makeRetryBudget } from './retry_budget.ts';
+import { makeRetryBudget } from '../table/mod.ts';
 
 const maxRowBytes = 64 * 1024;
 const firstRetryMs = 1_000;
@@ -35,7 +35,7 @@
   const perMinute = settings.current().policy.retryBudgetPerTeamPerMinute;
   const budget =
     budgets.get(job.team) ??
-    makeRetryBudget({ clock, capacity: Math.max(1, perMinute), perMinute });
+    makeRetryBudget({ clock, capacity: Math.max(1, perMinute), refillPerSecond: perMinute / 60 });
   budgets.set(job.team, budget);
   const failures = attemptOf(job, task)?.failures ?? 0;
   if (failures === 0) return;
--- a/src/dispatch/_job_state.ts
+++ b/src/dispatch/_job_state.ts
@@ -14,12 +14,11 @@
 import type { Pool } from '../pool/mod.ts';
 import type { Job } from '../schema/mod.ts';
 import type { Settings } from '../settings/mod.ts';
-import type { Table, Writer } from '../table/mod.ts';
+import type { Table, Writer, RetryBudget } from '../table/mod.ts';
 import type { Holds } from './_holds.ts';
 import { activeAttempts, needOf, waitingTasks } from './_job_model.ts';
 import type { JobRows } from './_job_rows.ts';
 import type { PeerChoice } from './peer_choice.ts';
-import type { RetryBudget } from './retry_budget.ts';
 
 /** Collaborators of the jobs. */
 export interface JobParts {
--- a/src/dispatch/_lookup_run.ts
+++ b/src/dispatch/_lookup_run.ts
@@ -22,7 +22,7 @@
 import { finalFailure, forCaller, isShortage, mayHandOn, mayResend } from './_lookup_rules.ts';
 import type { Lookup, Tries } from './_lookup_rules.ts';
 import type { PeerChoice } from './peer_choice.ts';
-import type { RetryBudget } from './retry_budget.ts';
+import type { RetryBudget } from '../table/mod.ts';
 
 /** Collaborators of the lookups. */
 export interface LookupParts {
--- a/src/dispatch/lookups.ts
+++ b/src/dispatch/lookups.ts
@@ -15,7 +15,7 @@
 import { runLookup } from './_lookup_run.ts';
 import type { LookupParts, LookupState } from './_lookup_run.ts';
 import type { Caller } from './dispatch.ts';
-import { makeRetryBudget } from './retry_budget.ts';
+import { makeRetryBudget } from '../table/mod.ts';
 
 /** Lookups of callers and those that peers hand over. */
 export interface Lookups {
@@ -171,7 +171,7 @@
   const budget = makeRetryBudget({
     clock,
     capacity: retryCapacity,
-    perMinute: retriesPerMinute,
+    refillPerSecond: retriesPerMinute / 60,
   });
   const state: LookupState = { ...parts, runTimeoutMs, queue, budget };
   let open = 0;
@@ -189,6 +189,6 @@
     handed: (question, { signal } = {}) =>
       counted(runHanded(state, { question, ...(signal ? { signal } : {}) })),
     open: () => open,
-    dump: () => ({ open, waiting: queue.size(), retryTokens: budget.tokens() }),
+    dump: () => ({ open, waiting: queue.size(), retryTokens: budget.available() }),
   };
 }
--- a/src/dispatch/mod.ts
+++ b/src/dispatch/mod.ts
@@ -6,7 +6,6 @@
 export * from './jobs.ts';
 export * from './make_dispatch.ts';
 export * from './peer_choice.ts';
-export * from './retry_budget.ts';
 export type { LookupParts } from './_lookup_run.ts';
 export type { JobParts } from './_job_state.ts';
 export { partitionOf } from './_job_rows.ts';
--- a/src/table/memory.ts
+++ b/src/table/memory.ts
@@ -20,13 +20,15 @@
 }
 
 /**
- * Makes an empty table.
+ * Makes an empty table; the observer sees every row that is written.
  *
  * @example
  * const state = makeTableState();
  * state.transact({ operation: 'o1', checks: [], writes: [{ key: 'a', value: 1 }], reads: [] });
  */
-export function makeTableState(): TableState {
+export function makeTableState(
+  onWrite: (key: string, value: unknown) => void = () => undefined,
+): TableState {
   const rows = new Map<string, Row>();
   let lastVersion = 0;
   const readRow = (key: string): Row => structuredClone(rows.get(key) ?? { key, version: 0 });
@@ -49,6 +51,7 @@
         versions[key] = value === undefined ? 0 : lastVersion;
         if (value === undefined) rows.delete(key);
         else rows.set(key, { key, version: lastVersion, value: structuredClone(value) });
+        onWrite(key, value);
       });
       return {
         commit: {
--- a/src/testing/sim_process.ts
+++ b/src/testing/sim_process.ts
@@ -23,12 +23,11 @@
 import { commitChange, makeSettings } from '../settings/mod.ts';
 import type { SettingsHolder } from '../settings/mod.ts';
 import { makeWriter } from '../table/mod.ts';
-import type { Table } from '../table/mod.ts';
+import type { Table, TableState } from '../table/mod.ts';
 import type { Workers } from '../workers/mod.ts';
 import { makeFirstFit } from './first_fit.ts';
 import { gatedClock, makeGate } from './sim_network.ts';
 import type { Gate, Network } from './sim_network.ts';
-import type { TableState } from './sim_table.ts';
 import type { SimWorker } from './sim_workers.ts';
 
 /** Safety rules that a run can replace. */
--- a/src/testing/world.ts
+++ b/src/testing/world.ts
@@ -12,8 +12,8 @@
 import type { Network, Way } from './sim_network.ts';
 import { makeProcess, rules as rulesInForce } from './sim_process.ts';
 import type { Rules, SimProcess, Surroundings } from './sim_process.ts';
-import { makeTableState } from './sim_table.ts';
-import type { TableState } from './sim_table.ts';
+import { makeTableState } from '../table/mod.ts';
+import type { TableState } from '../table/mod.ts';
 import { SimWorker } from './sim_workers.ts';
 
 const salt = 'a'.repeat(22);
