--- /dev/null
+++ b/src/calls/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * JSON calls over HTTP.
+ */
+export * from './call.ts';
--- /dev/null
+++ b/src/cell/_orders.ts
@@ -0,0 +1,137 @@
+/**
+ * Sends starts and stops to workers until their outcome is certain.
+ *
+ * A start without an answer may be carried out later. It is sent again as it is, which is idempotent
+ * at the worker; before it is given up, the attempt is stopped there, which also rejects it when it
+ * arrives late.
+ */
+import type { Clock } from '../clock/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import { isFinal, Rejection } from '../model/mod.ts';
+import type { Workers } from '../model/mod.ts';
+import { RunPhase, taskName } from '../scheduler/mod.ts';
+import type { CellState, Run, Worker } from '../scheduler/mod.ts';
+import type { WorkerLink } from './worker_link.ts';
+
+/** Sends orders. */
+export interface Orders {
+  start(run: Run): Promise<void>;
+  stop(run: Run, reason: string): Promise<void>;
+}
+
+/** What the orders use and whom they tell. */
+export interface OrdersOptions {
+  state: CellState;
+  workers: Workers;
+  clock: Clock;
+  log: Log;
+  fencingToken: number;
+  linkOf(workerId: string): WorkerLink | undefined;
+  isOver(): boolean;
+  /** A start certainly was not and will not be carried out. */
+  onRejected(run: Run, rejection: Rejection): void;
+  onStarted(run: Run): void;
+  onFenced(): void;
+}
+
+const retryMs = 120;
+const stopRetryMs = 250;
+
+/** Whether the run still is one that takes room on its worker. */
+function isHeld(state: CellState, run: Run): Worker | undefined {
+  const worker = state.workers.get(run.workerId);
+  return worker?.runs.get(`${taskName(run)}#${run.attempt}`) === run ? worker : undefined;
+}
+
+/**
+ * Makes the sender of orders.
+ *
+ * @example
+ * await orders.start(run);
+ */
+export function makeOrders(options: OrdersOptions): Orders {
+  const { state, workers, clock, log, fencingToken, linkOf, isOver, onRejected } = options;
+
+  function logOrder(event: string, run: Run, fields: Record<string, unknown>): void {
+    log.info(event, {
+      event,
+      id: run.step.job.accepted.id,
+      task: taskName(run),
+      attempt: run.attempt,
+      worker: run.workerId,
+      ...fields,
+    });
+  }
+
+  async function sendStart(run: Run, worker: Worker): Promise<Rejection | undefined> {
+    const leaseUntilMs = linkOf(run.workerId)?.leaseUntilMs();
+    if (leaseUntilMs === undefined) return Rejection.Unknown;
+    const { step, index, attempt } = run;
+    const ticket = step.advice.tickets.get(run.workerId);
+    const { checkpoint } = step.tasks[index]!;
+    return workers.start(worker.entry, {
+      task: taskName(run),
+      attempt,
+      payload: step.job.accepted.spec.payload,
+      leaseUntilMs,
+      fencingToken,
+      ...(checkpoint === '' ? {} : { checkpoint }),
+      ...(ticket ? { ticket: ticket.value } : {}),
+    });
+  }
+
+  async function stop(run: Run, reason: string): Promise<void> {
+    if (run.phase === RunPhase.Stopping) return;
+    run.phase = RunPhase.Stopping;
+    logOrder('stop', run, { reason });
+    for (let worker = isHeld(state, run); worker && !isOver(); worker = isHeld(state, run)) {
+      const outcome = await workers.stop(worker.entry, {
+        task: taskName(run),
+        attempt: run.attempt,
+        fencingToken,
+      });
+      if (outcome === Rejection.Fenced) {
+        options.onFenced();
+        return;
+      }
+      if (outcome === undefined) {
+        // From now on the attempt cannot start there, and the next list tells whether it had.
+        run.unsettled = false;
+        run.progressAtMs = clock.now();
+        return;
+      }
+      await clock.sleep(stopRetryMs);
+    }
+  }
+
+  async function start(run: Run): Promise<void> {
+    for (let worker = isHeld(state, run); worker && !isOver(); worker = isHeld(state, run)) {
+      if (run.phase === RunPhase.Stopping) return;
+      if (isFinal(run.step.job.state) && !run.unsettled) {
+        onRejected(run, Rejection.Late);
+        return;
+      }
+      const wasUnsettled = run.unsettled;
+      run.unsettled = true;
+      const outcome = await sendStart(run, worker);
+      if (outcome === undefined) {
+        run.unsettled = false;
+        run.progressAtMs = clock.now();
+        if (run.phase === RunPhase.Ordered) run.phase = RunPhase.Running;
+        options.onStarted(run);
+        return;
+      }
+      if (outcome !== Rejection.Unknown) {
+        logOrder('start-rejected', run, { reason: outcome, wasUnsettled });
+        if (outcome === Rejection.Fenced) options.onFenced();
+        else if (wasUnsettled) await stop(run, 'earlier order was not answered');
+        else if (isHeld(state, run)) onRejected(run, outcome);
+        return;
+      }
+      logOrder('start-unanswered', run, {});
+      await clock.sleep(retryMs);
+    }
+  }
+
+  return { start, stop };
+}
--- /dev/null
+++ b/src/cell/journal.ts
@@ -0,0 +1,198 @@
+/**
+ * The one lane through which the scheduler of a cell writes: changed rows are collected and written
+ * together, one transaction at a time. Each transaction also replaces the sequence row, whose
+ * version it expects; so a transaction that takes effect late, or that a deposed scheduler sends,
+ * fails, and the outcome of one that was not answered can be found out by sending it again.
+ */
+import type { Clock } from '../clock/mod.ts';
+import { Kind } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import type { RowKey, Store, StoreChange, StoredRow } from '../model/mod.ts';
+
+/** What a row is to hold; undefined deletes it. */
+export type RowSource = () => string | undefined;
+
+/** The lane. */
+export interface Journal {
+  /** Marks a row as changed; its content is taken when the transaction is built. */
+  mark(row: RowKey, source: RowSource): void;
+  /** Resolves with true once everything marked so far is stored, with false once deposed. */
+  flush(): Promise<boolean>;
+  /** Time that a transaction takes at present, in milliseconds. */
+  latencyMs(): number;
+  /** Monotonic time of the last transaction that took effect. */
+  confirmedAtMs(): number;
+  close(): void;
+}
+
+/** Where the lane writes, and whom it tells that another scheduler has taken over. */
+export interface JournalOptions {
+  store: Store;
+  clock: Clock;
+  log: Log;
+  sequenceRow: RowKey;
+  /** Version of the sequence row after the claim, and its value. */
+  start: { version: number; value: string };
+  /** Unique prefix of this lane's sequence values. */
+  author: string;
+  onDeposed(): void;
+}
+
+const maxRowsPerTransaction = 90;
+const maxBytesPerTransaction = 700_000;
+const retryMs = 60;
+const latencyWeight = 0.2;
+const initialLatencyMs = 12;
+
+interface Waiter {
+  generation: number;
+  resolve(isStored: boolean): void;
+}
+
+interface Entry {
+  row: RowKey;
+  source: RowSource;
+  generation: number;
+}
+
+function nameOf({ table, part, key }: RowKey): string {
+  return `${table}/${part}/${key}`;
+}
+
+/**
+ * Makes the lane.
+ *
+ * @example
+ * journal.mark({ table: 'state', part: 'c0', key: job.id }, () => JSON.stringify(progress));
+ * if (await journal.flush()) sendOrders();
+ */
+export function makeJournal(options: JournalOptions): Journal {
+  const { store, clock, log, sequenceRow, author, onDeposed } = options;
+  const dirty = new Map<string, Entry>();
+  let sequence = { ...options.start };
+  let count = 0;
+  let generation = 0;
+  let waiters: Waiter[] = [];
+  let isRunning = false;
+  let isClosed = false;
+  let latencyMs = initialLatencyMs;
+  let confirmedAtMs = clock.now();
+
+  function settleWaiters(): void {
+    const oldest = Math.min(Infinity, ...[...dirty.values()].map((entry) => entry.generation));
+    const ready = waiters.filter((waiter) => waiter.generation < oldest);
+    waiters = waiters.filter((waiter) => waiter.generation >= oldest);
+    ready.forEach(({ resolve }) => resolve(true));
+  }
+
+  function close(): void {
+    isClosed = true;
+    waiters.forEach(({ resolve }) => resolve(false));
+    waiters = [];
+  }
+
+  function takeBatch(): { entries: Entry[]; change: StoreChange; value: string } {
+    const entries: Entry[] = [];
+    count += 1;
+    const value = `${author}.${count}`;
+    const change: StoreChange = {
+      expected: [{ ...sequenceRow, version: sequence.version }],
+      writes: [{ ...sequenceRow, value }],
+      deletes: [],
+    };
+    let bytes = 0;
+    for (const [name, entry] of dirty) {
+      if (entries.length >= maxRowsPerTransaction || bytes > maxBytesPerTransaction) break;
+      dirty.delete(name);
+      entries.push(entry);
+      const text = entry.source();
+      if (text === undefined) change.deletes.push(entry.row);
+      else change.writes.push({ ...entry.row, value: text });
+      bytes += text?.length ?? 0;
+    }
+    return { entries, change, value };
+  }
+
+  /** Whether a conflict shows that the transaction had taken effect; undefined when deposed. */
+  function judgeConflict({ got }: Failure, value: string): 'stored' | 'again' | undefined {
+    const current = (got as StoredRow[]).find(({ key }) => key === sequenceRow.key);
+    if (!current) return undefined;
+    if (current.value === value) {
+      sequence = { version: current.version, value };
+      return 'stored';
+    }
+    if (current.value === sequence.value) {
+      sequence.version = current.version;
+      return 'again';
+    }
+    return undefined;
+  }
+
+  async function send(change: StoreChange, value: string): Promise<'stored' | 'again' | undefined> {
+    const startedAtMs = clock.now();
+    const result = await store.transact(change);
+    return result.caseOf<'stored' | 'again' | undefined>({
+      Right: (version) => {
+        sequence = { version, value };
+        latencyMs += latencyWeight * (clock.now() - startedAtMs - latencyMs);
+        return 'stored';
+      },
+      Left: (problem) => {
+        if (problem.kind === Kind.TableConflict) return judgeConflict(problem, value);
+        latencyMs += latencyWeight * (clock.now() - startedAtMs - latencyMs);
+        return 'again';
+      },
+    });
+  }
+
+  async function writeBatch(): Promise<void> {
+    const { change, value } = takeBatch();
+    while (!isClosed) {
+      const outcome = await send(change, value);
+      if (outcome === 'stored') {
+        confirmedAtMs = clock.now();
+        return;
+      }
+      if (outcome === undefined) {
+        log.warn('another scheduler has written', { event: 'deposed', author });
+        close();
+        onDeposed();
+        return;
+      }
+      change.expected = [{ ...sequenceRow, version: sequence.version }];
+      await clock.sleep(retryMs);
+    }
+  }
+
+  async function run(): Promise<void> {
+    if (isRunning) return;
+    isRunning = true;
+    // Rows marked in the same turn belong to one transaction.
+    await undefined;
+    while (dirty.size > 0 && !isClosed) {
+      await writeBatch();
+      if (!isClosed) settleWaiters();
+    }
+    isRunning = false;
+  }
+
+  return {
+    mark(row, source) {
+      if (isClosed) return;
+      generation += 1;
+      dirty.set(nameOf(row), { row, source, generation });
+      run().catch((error: unknown) => log.error('the journal failed', { reason: String(error) }));
+    },
+    flush() {
+      if (isClosed) return Promise.resolve(false);
+      if (dirty.size === 0 && !isRunning) return Promise.resolve(true);
+      return new Promise((resolve) => {
+        waiters.push({ generation, resolve });
+      });
+    },
+    latencyMs: () => latencyMs,
+    confirmedAtMs: () => confirmedAtMs,
+    close,
+  };
+}
--- /dev/null
+++ b/src/cell/leadership.ts
@@ -0,0 +1,205 @@
+/**
+ * Who schedules the cell: one claim row, won by compare-and-set, and a heartbeat row beside it.
+ *
+ * Every entry process watches both. One claims when there is no scheduler, when the scheduler has
+ * resigned, when its host rejects connections, or when its heartbeat has stopped. Safety does not rest
+ * on the timing: the workers reject the orders of a lower epoch, and the store the rows of one.
+ */
+import type { Clock, Random } from '../clock/mod.ts';
+import { Kind } from '../errors/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import type { Store, StoredRow } from '../model/mod.ts';
+import { makeFollower } from './follower.ts';
+import { claimRow, heartbeatRow, leadershipTable, sequenceRow } from './rows.ts';
+
+/** A claim as it is stored. */
+export interface Claim {
+  epoch: number;
+  /** Unique for each start of a process; empty once the scheduler has resigned. */
+  instance: string;
+  name: string;
+  address: string;
+}
+
+/** A claim that this process has won. */
+export interface WonClaim {
+  epoch: number;
+  sequence: { version: number; value: string };
+  claimVersion: number;
+  /** Whether the predecessor may still renew leases at workers that it reaches. */
+  predecessorMayAct: boolean;
+}
+
+/** The heartbeat of the scheduler, as the others see it. */
+export interface Heartbeat {
+  epoch: number;
+  pending: Record<string, number>;
+  /** Our monotonic time when it was seen. */
+  seenAtMs: number;
+}
+
+/** The election. */
+export interface Leadership {
+  run(signal: AbortSignal): Promise<void>;
+  claim(): Claim | undefined;
+  heartbeat(): Heartbeat | undefined;
+  /** Tells that the host of the present scheduler rejects connections. */
+  reportRejected(instance: string): void;
+  /** Gives the claim back, if this process holds it. */
+  resign(timeoutMs: number): Promise<void>;
+}
+
+/** What the election uses and whom it tells. */
+export interface LeadershipOptions {
+  store: Store;
+  clock: Clock;
+  random: Random;
+  log: Log;
+  self: { name: string; instance: string; address: string };
+  /** Delay before a claim, so that the better hosts come first. */
+  claimDelayMs: number;
+  mayClaim(): boolean;
+  onWon(won: WonClaim): void;
+  /** Another claim than the own was seen. */
+  onOther(claim: Claim): void;
+}
+
+const heartbeatTimeoutMs = 1_500;
+const checkMs = 60;
+const ownViewTimeoutMs = 900;
+const claimJitterMs = 60;
+const claimRetryMs = 200;
+const watchWaitMs = 700;
+
+/**
+ * Makes the election.
+ *
+ * @example
+ * const leadership = makeLeadership({ store, clock, random, log, self, claimDelayMs: 0, ... });
+ * await leadership.run(signal);
+ */
+export function makeLeadership(options: LeadershipOptions): Leadership {
+  const { store, clock, random, log, self, claimDelayMs, mayClaim, onWon, onOther } = options;
+  let claim: Claim | undefined;
+  let claimVersion = 0;
+  let heartbeat: Heartbeat | undefined;
+  /** Monotonic time of the last sign of the present scheduler. */
+  let signAtMs = clock.now();
+  let rejectedInstance: string | undefined;
+  let wonEpoch = 0;
+
+  function takeClaim(row: StoredRow): void {
+    if (row.version <= claimVersion) return;
+    claimVersion = row.version;
+    claim = JSON.parse(row.value) as Claim;
+    signAtMs = clock.now();
+    log.info('scheduler claim seen', { event: 'claim-seen', ...claim, version: row.version });
+    if (claim.instance !== self.instance) onOther(claim);
+  }
+
+  function takeRow(row: StoredRow): void {
+    if (row.deleted) return;
+    if (row.key === claimRow.key) takeClaim(row);
+    if (row.key !== heartbeatRow.key) return;
+    const { epoch, pending } = JSON.parse(row.value) as Heartbeat;
+    heartbeat = { epoch, pending, seenAtMs: clock.now() };
+    signAtMs = clock.now();
+  }
+
+  const follower = makeFollower({
+    store,
+    clock,
+    log,
+    table: leadershipTable,
+    readAll: () => store.read({ table: leadershipTable, part: claimRow.part }),
+    onRows: (rows) => rows.forEach(takeRow),
+    waitMs: watchWaitMs,
+  });
+
+  /** Why this process should claim now; undefined when it should not. */
+  function reasonToClaim(): string | undefined {
+    const viewAtMs = follower.currentAtMs();
+    const nowMs = clock.now();
+    if (viewAtMs === undefined || nowMs - viewAtMs > ownViewTimeoutMs) return undefined;
+    if (!claim) return 'there is no scheduler';
+    if (claim.instance === self.instance && claim.epoch <= wonEpoch) return undefined;
+    if (claim.instance === '') return 'the scheduler has resigned';
+    if (claim.name === self.name) return 'the scheduler was an earlier start of this process';
+    if (claim.instance === rejectedInstance) return 'the host of the scheduler rejects connections';
+    if (nowMs - signAtMs > heartbeatTimeoutMs) return 'the heartbeat of the scheduler has stopped';
+    return undefined;
+  }
+
+  async function tryClaim(reason: string): Promise<void> {
+    const predecessor = claim;
+    const epoch = (predecessor?.epoch ?? 0) + 1;
+    const sequenceValue = `${epoch}.${self.instance}.0`;
+    const next: Claim = { epoch, ...self };
+    const result = await store.transact({
+      expected: [{ ...claimRow, version: claimVersion }],
+      writes: [
+        { ...claimRow, value: JSON.stringify(next) },
+        { ...sequenceRow, value: sequenceValue },
+      ],
+      deletes: [],
+    });
+    result.caseOf({
+      Left: ({ kind, got }) => {
+        if (kind === Kind.TableConflict) (got as StoredRow[]).forEach(takeRow);
+      },
+      Right: (version) => {
+        wonEpoch = epoch;
+        claim = next;
+        claimVersion = version;
+        signAtMs = clock.now();
+        log.info('scheduler claim won', { event: 'scheduler-won', epoch, reason });
+        onWon({
+          epoch,
+          claimVersion: version,
+          sequence: { version, value: sequenceValue },
+          predecessorMayAct: reason === 'the heartbeat of the scheduler has stopped',
+        });
+      },
+    });
+  }
+
+  async function watchForVacancy(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await clock.sleep(checkMs, signal);
+      if (reasonToClaim() === undefined || !mayClaim()) continue;
+      await clock.sleep(claimDelayMs + random() * claimJitterMs, signal);
+      const reason = reasonToClaim();
+      if (reason === undefined || signal.aborted || !mayClaim()) continue;
+      await tryClaim(reason);
+      await clock.sleep(claimRetryMs, signal);
+    }
+  }
+
+  return {
+    claim: () => claim,
+    heartbeat: () => heartbeat,
+    reportRejected(instance) {
+      rejectedInstance = instance;
+    },
+    async resign(timeoutMs) {
+      if (claim?.instance !== self.instance) return;
+      const resigned: Claim = { ...claim, instance: '' };
+      const result = await store.transact(
+        {
+          expected: [{ ...claimRow, version: claimVersion }],
+          writes: [{ ...claimRow, value: JSON.stringify(resigned) }],
+          deletes: [],
+        },
+        timeoutMs,
+      );
+      log.info('resigned', {
+        event: 'scheduler-resigned',
+        epoch: claim.epoch,
+        stored: result.isRight(),
+      });
+    },
+    async run(signal) {
+      await Promise.all([follower.run(signal), watchForVacancy(signal)]);
+    },
+  };
+}
--- /dev/null
+++ b/src/cell/members.ts
@@ -0,0 +1,27 @@
+/**
+ * The entry processes of the system, as they register themselves in the store.
+ */
+
+/** An entry process. */
+export interface Member {
+  name: string;
+  /** Unique for each start of the process. */
+  instance: string;
+  /** Address for calls between entry processes. */
+  address: string;
+  dataCentre: string;
+  processors: number;
+}
+
+/** Table of the members; the key is the member's name. */
+export const membersTable = 'members';
+
+/** Decodes a member's row; undefined where the text is none. */
+export function decodeMember(text: string): Member | undefined {
+  try {
+    const member = JSON.parse(text) as Member;
+    return typeof member.address === 'string' ? member : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/cell/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * The scheduler of a cell and what every entry process does for it: the election, the term of a
+ * scheduler, and the rows that the processes share.
+ */
+export * from './advice_pool.ts';
+export * from './follower.ts';
+export * from './leadership.ts';
+export * from './members.ts';
+export * from './reign.ts';
+export {
+  cancellationRow,
+  claimRow,
+  jobRow,
+  jobsTable,
+  progressRow,
+  progressTable,
+} from './rows.ts';
--- /dev/null
+++ b/src/cell/worker_link.ts
@@ -0,0 +1,113 @@
+/**
+ * The connection of the scheduler to one worker: renews the lease of everything that runs there and
+ * passes on what the worker reports.
+ *
+ * A renewal waits at the worker for an end, so that ends are known at once. Ends that were reported
+ * are confirmed to the worker with the next renewal, and only after they have been stored.
+ */
+import type { Clock } from '../clock/mod.ts';
+import { Rejection } from '../model/mod.ts';
+import type { WorkerEntry, WorkerReport, Workers } from '../model/mod.ts';
+
+/** The connection to one worker. */
+export interface WorkerLink {
+  run(signal: AbortSignal): Promise<void>;
+  /** Lease end for an order that is sent now, on the worker's clock; undefined before it answered. */
+  leaseUntilMs(): number | undefined;
+  /** Monotonic time after which nothing runs there any more unless the lease is renewed. */
+  deadAtMs(): number;
+}
+
+/** What a link uses and whom it tells. */
+export interface LinkOptions {
+  workers: Workers;
+  clock: Clock;
+  entry(): WorkerEntry;
+  fencingToken: number;
+  /** Lease that is asked for. */
+  leaseMs: number;
+  /** Monotonic time until which a predecessor's orders may keep runs alive. */
+  predecessorUntilMs: number;
+  /** Whether renewals still may be sent. */
+  mayRenew(): boolean;
+  /** Takes a report; resolves with true once the ends in it are stored. */
+  onReport(report: WorkerReport, sentAtMs: number): Promise<boolean>;
+  onSilence(rejection: Rejection): void;
+  onFenced(): void;
+}
+
+const renewWaitMs = 1_000;
+const retryMs = 150;
+/** A worker's clock may run slower than ours by this factor. */
+const clockSlowness = 1.025;
+const deadSlackMs = 100;
+
+/**
+ * Makes the link to a worker.
+ *
+ * @example
+ * const link = makeWorkerLink({ workers, clock, entry: () => worker.entry, fencingToken: 4, ... });
+ * await link.run(signal);
+ */
+export function makeWorkerLink(options: LinkOptions): WorkerLink {
+  const { workers, clock, entry, fencingToken, leaseMs, onReport, onSilence, onFenced } = options;
+  let lastSeen = 0;
+  let bornMs: number | undefined;
+  /** The worker's clock and our time when it was read, at the latest. */
+  let reading: { workerMs: number; atMs: number } | undefined;
+  let deadAtMs = options.predecessorUntilMs;
+
+  function leaseUntilMs(): number | undefined {
+    if (!reading) return undefined;
+    const nowMs = clock.now();
+    deadAtMs = Math.max(deadAtMs, nowMs + leaseMs * clockSlowness + deadSlackMs);
+    return Math.floor(reading.workerMs + (nowMs - reading.atMs) + leaseMs);
+  }
+
+  async function take(report: WorkerReport, sentAtMs: number): Promise<void> {
+    if (bornMs !== undefined && report.bornMs !== bornMs) lastSeen = 0;
+    const isNewIncarnation = report.bornMs !== bornMs;
+    bornMs = report.bornMs;
+    reading = { workerMs: report.clockMs, atMs: clock.now() };
+    const isStored = await onReport(report, sentAtMs);
+    const newest = Math.max(0, ...report.ended.map(({ sequence }) => sequence));
+    if (isStored) lastSeen = isNewIncarnation ? newest : Math.max(lastSeen, newest);
+  }
+
+  async function renew(isFirst: boolean): Promise<void> {
+    const sentAtMs = clock.now();
+    const until = leaseUntilMs();
+    const result = await workers.renew(entry(), {
+      fencingToken,
+      lastSeen,
+      ...(until === undefined ? {} : { leaseUntilMs: until }),
+      waitMs: isFirst ? 0 : renewWaitMs,
+    });
+    if (typeof result !== 'string') {
+      await take(result, sentAtMs);
+      return;
+    }
+    if (result === Rejection.Fenced) {
+      onFenced();
+      return;
+    }
+    onSilence(result);
+    await clock.sleep(retryMs);
+  }
+
+  return {
+    leaseUntilMs,
+    deadAtMs: () => deadAtMs,
+    async run(signal) {
+      let isFirst = true;
+      while (!signal.aborted) {
+        if (options.mayRenew()) {
+          await renew(isFirst);
+          isFirst = reading === undefined;
+        } else {
+          await clock.sleep(retryMs, signal);
+        }
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/host/host.ts
@@ -0,0 +1,331 @@
+/**
+ * Wires up one entry process on the users' platform.
+ */
+import { randomBytes } from 'node:crypto';
+
+import { Left } from 'purify-ts';
+
+import { makeAdvicePool, makeLeadership, makeReign } from '../cell/mod.ts';
+import type { Member, Reign, WonClaim } from '../cell/mod.ts';
+import type { Clock, Random } from '../clock/mod.ts';
+import { failure, Kind, refuse } from '../errors/mod.ts';
+import type { Outcome } from '../errors/mod.ts';
+import { listen, makeFront, makeRouteTable } from '../front/mod.ts';
+import type { ClientAnswer, ClientCall, HttpRequest, RouteTable } from '../front/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import type { Store, Workers } from '../model/mod.ts';
+import {
+  configurationKey,
+  decodeConfiguration,
+  decodeJob,
+  decodeWorker,
+  encodePending,
+  encodeState,
+  evacuatedDataCentre,
+  isJobId,
+  operatorTable,
+  readinessPath,
+  registryTable,
+} from '../../platform/mod.ts';
+import type { Adviser, HostSettings } from '../../platform/mod.ts';
+import { makeMembership } from './membership.ts';
+import { makePeerClient, servePeers } from './peers.ts';
+import type { AdviceQuestion } from './peers.ts';
+import { makeWishes } from './wishes.ts';
+import type { WishesMessage } from './wishes.ts';
+
+/** What an entry process is made of. */
+export interface HostOptions {
+  settings: HostSettings;
+  clock: Clock;
+  random: Random;
+  logs: { host: Log; front: Log; cell: Log };
+  store: Store;
+  workers: Workers;
+  adviser: Adviser | undefined;
+}
+
+/** An entry process. */
+export interface Host {
+  start(): Promise<void>;
+  /** Finishes what was begun and resigns; resolves when the process may exit. */
+  stop(): Promise<void>;
+}
+
+const pingEveryMs = 250;
+const pendingAgeLimitMs = 1_900;
+const freshnessMarginMs = 350;
+const relayTries = 2;
+const strongProcessors = 2;
+const claimDelayPerProcessorMs = 150;
+const instanceBytes = 4;
+const drainNoticeMs = 2_300;
+const drainPollMs = 50;
+const graceMarginMs = 900;
+const resignTimeoutMs = 800;
+
+/**
+ * Makes an entry process.
+ *
+ * @example
+ * const host = makeHost(options);
+ * await host.start();
+ */
+export function makeHost(options: HostOptions): Host {
+  const { settings, clock, random, logs, store, workers, adviser } = options;
+  const over = new AbortController();
+  const self: Member = {
+    name: settings.name,
+    instance: randomBytes(instanceBytes).toString('hex'),
+    address: `${settings.ip}:${settings.peerPort}`,
+    dataCentre: settings.dataCentre,
+    processors: settings.processors,
+  };
+  const peers = makePeerClient();
+  const membership = makeMembership({ store, clock, log: logs.host, self });
+  let reign: Reign | undefined;
+  let isDraining = false;
+  let routes: RouteTable | undefined;
+
+  function others(): Member[] {
+    const claim = leadership.claim();
+    return membership
+      .members()
+      .filter(({ name }) => name !== self.name)
+      .sort(
+        (a, b) => Number(b.instance === claim?.instance) - Number(a.instance === claim?.instance),
+      );
+  }
+
+  async function askPeers(): Promise<WishesMessage | undefined> {
+    const answers = await Promise.all(
+      others()
+        .slice(0, 3)
+        .map(({ address }) => peers.wishes(address)),
+    );
+    return answers
+      .flatMap((answer) => (answer.isRight() ? [answer.extract() as WishesMessage] : []))
+      .sort((a, b) => b.version - a.version || a.ageMs - b.ageMs)[0];
+  }
+
+  const wishes = makeWishes({
+    store,
+    clock,
+    log: logs.host,
+    table: operatorTable,
+    configurationKey,
+    decodeConfiguration,
+    evacuatedDataCentre,
+    askPeers,
+  });
+
+  function advise({ step, workers: ids, timeoutMs }: AdviceQuestion) {
+    return adviser
+      ? adviser(step, ids, timeoutMs)
+      : Promise.resolve(refuse<never>(Kind.PeerUnavailable, 'no advice service is set'));
+  }
+
+  const advicePool = makeAdvicePool({
+    clock,
+    hosts: () => membership.members().map(({ name }) => name),
+    askFrom(name, question) {
+      if (name === self.name) return advise(question);
+      const member = membership.members().find((each) => each.name === name);
+      return member
+        ? peers.advise(member.address, question)
+        : Promise.resolve(Left(failure(Kind.PeerUnavailable, 'the entry process has gone')));
+    },
+  });
+
+  function beginReign(won: WonClaim): void {
+    reign?.stop();
+    const next = makeReign({
+      store,
+      workers,
+      clock,
+      log: logs.cell,
+      advicePool,
+      registryTable,
+      decodeWorker,
+      wishes: wishes.current,
+      claim: { epoch: won.epoch, instance: self.instance, sequence: won.sequence },
+      predecessorMayAct: won.predecessorMayAct,
+      maxLeaseMs: settings.maxLeaseMs,
+      onLost() {
+        if (reign === next) reign = undefined;
+      },
+    });
+    reign = next;
+    next.run().catch((error: unknown) => {
+      logs.cell.error('the term failed', { event: 'scheduler-failed', reason: String(error) });
+      next.stop();
+    });
+  }
+
+  const leadership = makeLeadership({
+    store,
+    clock,
+    random,
+    log: logs.cell,
+    self: { name: self.name, instance: self.instance, address: self.address },
+    claimDelayMs: Math.max(0, strongProcessors - settings.processors) * claimDelayPerProcessorMs,
+    mayClaim: () => !isDraining && wishes.current() !== undefined,
+    onWon: beginReign,
+    onOther: () => reign?.stop(),
+  });
+
+  function currentRoutes(): RouteTable | undefined {
+    const current = wishes.current();
+    if (!current) return undefined;
+    const limitMs = settings.configurationBoundMs - freshnessMarginMs;
+    if (clock.now() - current.currentAtMs > limitMs) return undefined;
+    if (routes?.version !== current.configuration.version) {
+      routes = makeRouteTable(current.configuration);
+    }
+    return routes;
+  }
+
+  async function relay(call: ClientCall): Outcome<ClientAnswer> {
+    let isUnknown = false;
+    for (const { address } of others().slice(0, relayTries)) {
+      const answer = await peers.relay(address, call);
+      if (answer.isRight()) {
+        const { status } = answer.extract() as ClientAnswer;
+        if (status !== 503 && status !== 504) return answer;
+        isUnknown ||= status === 504;
+      } else {
+        const kind = answer
+          .swap()
+          .map((problem) => problem.kind)
+          .extract();
+        isUnknown ||= kind === Kind.OutcomeUnknown;
+      }
+    }
+    return refuse(
+      isUnknown ? Kind.OutcomeUnknown : Kind.PeerUnavailable,
+      'no other process could serve the call',
+    );
+  }
+
+  const front = makeFront({
+    store,
+    clock,
+    log: logs.front,
+    routes: currentRoutes,
+    pendingIn(queue) {
+      const heartbeat = leadership.heartbeat();
+      if (!heartbeat || clock.now() - heartbeat.seenAtMs > pendingAgeLimitMs) return undefined;
+      return heartbeat.pending[queue] ?? 0;
+    },
+    relay,
+    isJobId,
+    decodeJob,
+    encodeState,
+    encodePending,
+  });
+
+  async function serveClient({ method, path, headers, body }: HttpRequest) {
+    const key = /^Bearer (.+)$/i.exec(headers.authorization ?? '')?.[1];
+    const {
+      status,
+      body: text,
+      retryAfterS,
+    } = await front.answer({
+      method,
+      path,
+      host: headers.host ?? '',
+      key,
+      body,
+      isRelayed: false,
+    });
+    return {
+      status,
+      body: text,
+      ...(retryAfterS === undefined ? {} : { headers: { 'retry-after': String(retryAfterS) } }),
+    };
+  }
+
+  function answerReadiness({ path }: HttpRequest) {
+    if (path !== readinessPath) return { status: 404, body: '{}' };
+    const isReady = !isDraining && currentRoutes() !== undefined;
+    return { status: isReady ? 200 : 503, body: '{}' };
+  }
+
+  async function watchScheduler(): Promise<void> {
+    while (!over.signal.aborted) {
+      await clock.sleep(pingEveryMs, over.signal);
+      const claim = leadership.claim();
+      if (!claim || claim.instance === '' || claim.instance === self.instance) continue;
+      const { instance, isRefused } = await peers.ping(claim.address);
+      const isGone = isRefused || (instance !== undefined && instance !== claim.instance);
+      if (isGone) leadership.reportRejected(claim.instance);
+    }
+  }
+
+  const onError = (error: unknown) =>
+    logs.front.error('a call failed', { reason: String(error), stack: (error as Error).stack });
+  let servers: Awaited<ReturnType<typeof listen>>[] = [];
+
+  return {
+    async start() {
+      servers = await Promise.all([
+        listen({
+          address: settings.listen.callers,
+          maxBodyBytes: () => wishes.current()?.configuration.maxBodyBytes ?? 262_144,
+          handle: serveClient,
+          onError,
+        }),
+        listen({
+          address: settings.listen.readiness,
+          maxBodyBytes: () => 1_024,
+          handle: answerReadiness,
+          onError,
+        }),
+        servePeers(
+          self.address,
+          {
+            instance: self.instance,
+            advise,
+            relay: front.answer,
+            wishes: wishes.message,
+          },
+          onError,
+        ),
+      ]);
+      logs.host.info('started', { event: 'start', ...self });
+      const loops = [
+        wishes.run(over.signal),
+        membership.run(over.signal),
+        leadership.run(over.signal),
+        watchScheduler(),
+      ];
+      loops.forEach((loop) =>
+        loop.catch((error: unknown) =>
+          logs.host.error('a loop failed', {
+            reason: String(error),
+            stack: (error as Error).stack,
+          }),
+        ),
+      );
+    },
+
+    async stop() {
+      isDraining = true;
+      logs.host.info('stopping', { event: 'stop', open: servers[0]?.openConnections() });
+      const deadlineMs = clock.now() + settings.graceMs - graceMarginMs;
+      const resigning = leadership.resign(resignTimeoutMs);
+      reign?.stop();
+      await resigning;
+      // New connections still arrive until the platform has noticed that this process is not ready.
+      await clock.sleep(drainNoticeMs);
+      servers[0]?.drain();
+      while (clock.now() < deadlineMs && (servers[0]?.openConnections() ?? 0) > 0) {
+        await clock.sleep(drainPollMs);
+        servers[0]?.drain();
+      }
+      over.abort();
+      servers.forEach((server) => server.close());
+      logs.host.info('stopped', { event: 'stopped' });
+    },
+  };
+}
--- /dev/null
+++ b/src/host/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * An entry process on the users' platform: the module that wires the parts.
+ */
+export * from './host.ts';
--- /dev/null
+++ b/src/host/peers.ts
@@ -0,0 +1,151 @@
+/**
+ * Calls between entry processes, as their server and their client.
+ */
+import { Right } from 'purify-ts';
+
+import { isNoAnswer, makeCaller } from '../calls/mod.ts';
+import type { Caller } from '../calls/mod.ts';
+import type { Tickets } from '../cell/mod.ts';
+import { Kind, refuse } from '../errors/mod.ts';
+import type { Outcome } from '../errors/mod.ts';
+import { listen } from '../front/mod.ts';
+import type {
+  ClientAnswer,
+  ClientCall,
+  HttpAnswer,
+  HttpRequest,
+  HttpServer,
+} from '../front/mod.ts';
+import type { WishesMessage } from './wishes.ts';
+
+/** A call for tickets that one process makes for another. */
+export interface AdviceQuestion {
+  step: string;
+  workers: string[];
+  timeoutMs: number;
+}
+
+/** What a process does for the others. */
+export interface PeerService {
+  instance: string;
+  advise(question: AdviceQuestion): Outcome<Tickets>;
+  relay(call: ClientCall): Promise<ClientAnswer>;
+  wishes(): WishesMessage | undefined;
+}
+
+/** Calls to other processes. */
+export interface PeerClient {
+  advise(address: string, question: AdviceQuestion): Outcome<Tickets>;
+  relay(address: string, call: ClientCall): Outcome<ClientAnswer>;
+  wishes(address: string): Outcome<WishesMessage>;
+  /** The instance that listens there; a Left with kind `peer-unavailable` and whether it is refused. */
+  ping(address: string): Promise<{ instance?: string; isRefused: boolean }>;
+}
+
+const connections = 16;
+const relayTimeoutMs = 2_200;
+const wishesTimeoutMs = 500;
+const pingTimeoutMs = 500;
+const adviceMarginMs = 200;
+const maxBodyBytes = 1_048_576;
+
+function json(status: number, value: unknown): HttpAnswer {
+  return { status, body: JSON.stringify(value ?? {}) };
+}
+
+/**
+ * Serves the other processes.
+ *
+ * @example
+ * const server = await servePeers('10.0.0.7:7420', service);
+ */
+export function servePeers(
+  address: string,
+  service: PeerService,
+  onError: (error: unknown) => void,
+): Promise<HttpServer> {
+  async function handle({ path, body }: HttpRequest): Promise<HttpAnswer> {
+    if (path === '/ping') return json(200, { instance: service.instance });
+    if (path === '/wishes') {
+      const message = service.wishes();
+      return message ? json(200, message) : json(503, {});
+    }
+    if (path === '/relay') {
+      return json(200, await service.relay(JSON.parse(body) as ClientCall));
+    }
+    if (path === '/advise') {
+      const tickets = await service.advise(JSON.parse(body) as AdviceQuestion);
+      return tickets.caseOf({
+        Left: ({ message }) => json(503, { message }),
+        Right: (value) => json(200, value),
+      });
+    }
+    return json(404, {});
+  }
+  return listen({ address, maxBodyBytes: () => maxBodyBytes, handle, onError });
+}
+
+/**
+ * Makes the client of the other processes.
+ *
+ * @example
+ * const peers = makePeerClient();
+ * await peers.ping('10.0.0.8:7420');
+ */
+export function makePeerClient(): PeerClient {
+  const callers = new Map<string, Caller>();
+
+  function callerOf(address: string): Caller {
+    const known = callers.get(address);
+    if (known) return known;
+    const caller = makeCaller(address, { connections });
+    callers.set(address, caller);
+    return caller;
+  }
+
+  async function call<T>(
+    address: string,
+    path: string,
+    { body, timeoutMs }: { body?: unknown; timeoutMs: number },
+  ): Outcome<T> {
+    const answer = await callerOf(address).call({
+      method: body === undefined ? 'GET' : 'POST',
+      path,
+      ...(body === undefined ? {} : { body }),
+      timeoutMs,
+    });
+    if (isNoAnswer(answer)) {
+      const kind = answer.unsent ? Kind.PeerUnavailable : Kind.OutcomeUnknown;
+      return refuse(kind, 'the other process did not answer', { got: answer.reason });
+    }
+    if (answer.status !== 200) {
+      return refuse(Kind.PeerUnavailable, 'the other process rejected the call', {
+        got: answer.status,
+      });
+    }
+    return Right(answer.body as T);
+  }
+
+  return {
+    advise: (address, question) =>
+      call(address, '/advise', {
+        body: question,
+        timeoutMs: question.timeoutMs + adviceMarginMs,
+      }),
+    relay: (address, relayed) =>
+      call(address, '/relay', {
+        body: { ...relayed, isRelayed: true },
+        timeoutMs: relayTimeoutMs,
+      }),
+    wishes: (address) => call(address, '/wishes', { timeoutMs: wishesTimeoutMs }),
+    async ping(address) {
+      const answer = await callerOf(address).call({
+        method: 'GET',
+        path: '/ping',
+        timeoutMs: pingTimeoutMs,
+      });
+      if (isNoAnswer(answer)) return { isRefused: answer.isRefused };
+      return { instance: String(answer.body.instance), isRefused: false };
+    },
+  };
+}
--- a/src/logs/mod.ts
+++ b/src/logs/mod.ts
@@ -6,6 +6,9 @@
 /** The part of the program that a line comes from. */
 export const Part = {
   Entry: 'entry',
+  Host: 'host',
+  Front: 'front',
+  Cell: 'cell',
   Callers: 'callers',
   Operators: 'operators',
   Peers: 'peers',
@@ -40,9 +43,16 @@
  * const logs = makeLogs({ level: 'info', process: 'entry-1' });
  * logs(Part.Table).warn('Table service timed out.', { afterMs: 600 });
  */
-export function makeLogs(options: { level?: string; process?: string } = {}): (part: Part) => Log {
-  const { level = 'info', process: name = 'dogwood' } = options;
-  const root = pino({ level, base: { process: name } }, pino.destination({ fd: 2, sync: false }));
+export function makeLogs(
+  options: { level?: string; process?: string; fd?: number; maxBufferBytes?: number } = {},
+): (part: Part) => Log {
+  const { level = 'info', process: name = 'dogwood', fd = 2, maxBufferBytes } = options;
+  const destination = pino.destination({
+    fd,
+    sync: false,
+    ...(maxBufferBytes === undefined ? {} : { maxLength: maxBufferBytes }),
+  });
+  const root = pino({ level, base: { process: name } }, destination);
   return (part) => {
     const child = root.child({}, { msgPrefix: `${part}: ` });
     return {
--- /dev/null
+++ b/src/scheduler/decide.ts
@@ -0,0 +1,284 @@
+/**
+ * The decision what to start next: a pass over all steps whose turn has come, in order, which places
+ * their tasks on workers and says for which steps tickets are to be asked.
+ *
+ * Load answered: more work than room. Steps that come first take room first; a gang that waits for
+ * tickets holds its room, so that later work does not take it.
+ */
+import { isFinal, JobState } from '../model/mod.ts';
+import type { Configuration, Organisation, Queue } from '../model/mod.ts';
+import { occurrenceCount, orderRun, stepsOf } from './jobs.ts';
+import { compareRanks, rankOf } from './order.ts';
+import {
+  chooseForGang,
+  chooseWorkers,
+  isEligible,
+  isUsable,
+  placesOn,
+  placesWithinLimit,
+} from './placement.ts';
+import type { Conditions } from './placement.ts';
+import { dropPlan, freeRoom, holdPlan } from './rooms.ts';
+import type { CellState, Job, QueueTerms, Run, Step, Worker } from './state.ts';
+
+/** A call for tickets. */
+export interface AdviceRequest {
+  step: Step;
+  workers: Worker[];
+  terms: QueueTerms;
+}
+
+/** What is to be done. */
+export interface Decisions {
+  starts: Run[];
+  adviceRequests: AdviceRequest[];
+}
+
+/** What a pass goes by, apart from the state. */
+export interface DecisionInputs {
+  nowMs: number;
+  wallMs: number;
+  configuration: Configuration;
+  evacuated: ReadonlySet<string>;
+  /** Time that passes between a decision and the arrival of its order at the worker. */
+  orderDelayMs: number;
+}
+
+const maxWorkersPerAdvice = 100;
+const planHoldMs = 4_000;
+const repeatAdviceMs = 400;
+
+interface Lookup {
+  queues: Map<string, Queue>;
+  organisations: Map<string, Organisation>;
+}
+
+/** The figures of a job's queue: those in force, or those at acceptance once the queue is gone. */
+export function termsOf(job: Job, queues: ReadonlyMap<string, Queue>): QueueTerms {
+  return queues.get(job.accepted.queue) ?? job.accepted.terms;
+}
+
+function isDue(job: Job, occurrence: number, wallMs: number): boolean {
+  const { repetition } = job.accepted.spec;
+  return !repetition || wallMs >= repetition.startAtMs + occurrence * repetition.intervalMs;
+}
+
+function readySteps(job: Job, wallMs: number): Step[] {
+  const ready: Step[] = [];
+  for (let k = 0; k < occurrenceCount(job) && isDue(job, k, wallMs); k++) {
+    const steps = stepsOf(job, k);
+    const isReady = (step: Step) =>
+      step.remaining > 0 && step.spec.after.every((number) => steps[number]?.remaining === 0);
+    ready.push(...steps.filter(isReady));
+  }
+  return ready;
+}
+
+/** Numbers of the tasks of a step that wait for a start. */
+function waitingTasks(step: Step, nowMs: number): number[] {
+  const waiting: number[] = [];
+  step.tasks.forEach((task, index) => {
+    const isWaiting = !task.done && task.runs.length === 0 && (task.notBeforeMs ?? 0) <= nowMs;
+    if (isWaiting) waiting.push(index);
+  });
+  if (step.spec.gang && waiting.length < step.spec.count) return [];
+  return waiting;
+}
+
+function adviceKey(worker: Worker): string {
+  return `${worker.entry.id}@${worker.bornMs}`;
+}
+
+function hasTicket(step: Step, worker: Worker, untilMs: number): boolean {
+  const ticket = step.advice.tickets.get(worker.entry.id);
+  return ticket !== undefined && ticket.bornMs === worker.bornMs && ticket.validUntilMs > untilMs;
+}
+
+/** The chosen workers, whether for a gang or for single tasks. */
+function choose(step: Step, workers: Worker[], wanted: number): Map<Worker, number> | undefined {
+  if (step.spec.gang) return chooseForGang(step, workers);
+  const counts = chooseWorkers(step, workers, wanted);
+  return counts.size > 0 ? counts : undefined;
+}
+
+function start(
+  state: CellState,
+  step: Step,
+  counts: Map<Worker, number>,
+  waiting: number[],
+  nowMs: number,
+): Run[] {
+  const gangAttempt = Math.max(...step.tasks.map(({ attempt }) => attempt)) + 1;
+  const starts: Run[] = [];
+  let next = 0;
+  counts.forEach((count, worker) => {
+    for (let i = 0; i < count; i++) {
+      const index = waiting[next]!;
+      const attempt = step.spec.gang ? gangAttempt : step.tasks[index]!.attempt + 1;
+      starts.push(orderRun(state, { step, index, worker, attempt, nowMs }));
+      next += 1;
+    }
+  });
+  return starts;
+}
+
+function byRoom(a: Worker, b: Worker): number {
+  return freeRoom(b).cpu - freeRoom(a).cpu;
+}
+
+/** Asks about workers that were not asked about yet, those with most room first. */
+function askAboutNew(step: Step, candidates: Worker[]): Worker[] {
+  return candidates
+    .filter((worker) => !step.advice.asked.has(adviceKey(worker)))
+    .sort(byRoom)
+    .slice(0, maxWorkersPerAdvice);
+}
+
+interface Pass extends DecisionInputs {
+  state: CellState;
+  lookup: Lookup;
+  conditions: Conditions;
+  decisions: Decisions;
+}
+
+function ask(pass: Pass, step: Step, workers: Worker[], terms: QueueTerms): void {
+  workers.forEach((worker) => step.advice.asked.add(adviceKey(worker)));
+  step.advice.isPending = true;
+  pass.decisions.adviceRequests.push({ step, workers, terms });
+}
+
+function planWithoutTickets(
+  pass: Pass,
+  step: Step,
+  allowed: Worker[],
+  wanted: number,
+  terms: QueueTerms,
+): void {
+  const counts = choose(step, allowed, wanted);
+  if (!counts) return;
+  const workers = new Map([...counts].map(([worker, count]) => [worker.entry.id, count]));
+  holdPlan(pass.state, step, { workers, untilMs: pass.nowMs + planHoldMs });
+  ask(pass, step, [...counts.keys()], terms);
+}
+
+function placeWithAdvice(
+  pass: Pass,
+  step: Step,
+  usable: Worker[],
+  waiting: number[],
+  wanted: number,
+  terms: QueueTerms,
+): void {
+  const { advice } = step;
+  if (advice.isPending) return;
+  // A plan was made for the tickets that have now arrived, or it has become too old.
+  dropPlan(pass.state, step);
+  const untilMs = pass.nowMs + pass.orderDelayMs;
+  const withTicket = usable.filter((worker) => hasTicket(step, worker, untilMs));
+  const counts = choose(step, withTicket, wanted);
+  if (counts) {
+    const starts = start(pass.state, step, counts, waiting, pass.nowMs);
+    pass.decisions.starts.push(...starts);
+    if (starts.length === wanted) return;
+  }
+  if (pass.nowMs < advice.notBeforeMs) return;
+  const left = wanted - (counts ? [...counts.values()].reduce((sum, n) => sum + n, 0) : 0);
+  const unknown = askAboutNew(step, usable);
+  if (unknown.length > 0) {
+    ask(pass, step, unknown, terms);
+    return;
+  }
+  const allowed = usable.filter(
+    (worker) => advice.allowed.has(adviceKey(worker)) && !hasTicket(step, worker, untilMs),
+  );
+  const candidates = step.spec.gang
+    ? usable.filter((w) => advice.allowed.has(adviceKey(w)))
+    : allowed;
+  planWithoutTickets(pass, step, candidates, left, terms);
+}
+
+function placeStep(pass: Pass, step: Step): void {
+  const { state, nowMs, lookup } = pass;
+  const { accepted } = step.job;
+  const waiting = waitingTasks(step, nowMs);
+  if (waiting.length === 0) {
+    if (!step.advice.isPending) dropPlan(state, step);
+    return;
+  }
+  const terms = termsOf(step.job, lookup.queues);
+  const service = lookup.queues.get(accepted.queue)?.service ?? accepted.service;
+  const withinLimit = placesWithinLimit(
+    step,
+    state.usage.get(accepted.organisation),
+    lookup.organisations.get(accepted.organisation)?.upperLimit,
+  );
+  const wanted = Math.min(waiting.length, withinLimit);
+  if (wanted === 0 || (step.spec.gang && wanted < step.spec.count)) return;
+  const usable = [...state.workers.values()].filter(
+    (worker) => isEligible(worker, step, service) && isUsable(worker, pass.conditions),
+  );
+  if (terms.advice) {
+    placeWithAdvice(pass, step, usable, waiting, wanted, terms);
+    return;
+  }
+  const counts = choose(step, usable, wanted);
+  if (counts) pass.decisions.starts.push(...start(state, step, counts, waiting, nowMs));
+}
+
+/**
+ * Decides what to start and for which steps to ask for tickets; the starts are entered in the state.
+ *
+ * @example
+ * const { starts, adviceRequests } = decide(state, inputs);
+ */
+export function decide(state: CellState, inputs: DecisionInputs): Decisions {
+  const { configuration, nowMs, evacuated } = inputs;
+  const lookup = {
+    queues: new Map(configuration.queues.map((queue) => [queue.name, queue])),
+    organisations: new Map(configuration.organisations.map((each) => [each.name, each])),
+  };
+  const decisions: Decisions = { starts: [], adviceRequests: [] };
+  const pass: Pass = {
+    ...inputs,
+    state,
+    lookup,
+    conditions: { nowMs, evacuated },
+    decisions,
+  };
+  const ranked = [...state.active]
+    .filter((job) => !isFinal(job.state) || job.state === JobState.Running)
+    .flatMap((job) => readySteps(job, inputs.wallMs))
+    .map((step) => ({ step, rank: rankOf(step, termsOf(step.job, lookup.queues), nowMs) }))
+    .sort((a, b) => compareRanks(a.rank, b.rank));
+  ranked.forEach(({ step }) => placeStep(pass, step));
+  return decisions;
+}
+
+/**
+ * Takes the answer to a call for tickets; without an answer the step is asked for again later.
+ *
+ * @example
+ * takeAdvice(request, [['i-1', 'c81e']], { validUntilMs: now + 1_500, nowMs: now });
+ */
+export function takeAdvice(
+  { step, workers }: AdviceRequest,
+  tickets: [worker: string, ticket: string][] | undefined,
+  { validUntilMs, nowMs }: { validUntilMs: number; nowMs: number },
+): void {
+  const { advice } = step;
+  advice.isPending = false;
+  if (!tickets) {
+    workers.forEach((worker) => {
+      if (!advice.allowed.has(adviceKey(worker))) advice.asked.delete(adviceKey(worker));
+    });
+    advice.notBeforeMs = nowMs + repeatAdviceMs;
+    return;
+  }
+  const byId = new Map(workers.map((worker) => [worker.entry.id, worker]));
+  tickets.forEach(([id, value]) => {
+    const worker = byId.get(id);
+    if (!worker) return;
+    advice.allowed.add(adviceKey(worker));
+    advice.tickets.set(id, { value, bornMs: worker.bornMs, validUntilMs });
+  });
+}
--- /dev/null
+++ b/src/scheduler/jobs.ts
@@ -0,0 +1,212 @@
+/**
+ * Changes of jobs: acceptance, starts, ends, cancellation.
+ */
+import { isFinal, JobState, RunEnd } from '../model/mod.ts';
+import type { AcceptedJob, EndedRun } from '../model/mod.ts';
+import { releaseRun, reserveRun } from './rooms.ts';
+import { RunPhase } from './state.ts';
+import type { CellState, Job, Run, Step, Task, Worker } from './state.ts';
+
+/** Delay before a task that failed is started again. */
+const retryDelayMs = 50;
+
+function makeTask(): Task {
+  return { attempt: 0, failures: 0, failedAttempt: 0, done: false, checkpoint: '', runs: [] };
+}
+
+function makeSteps(job: Job, occurrence: number): Step[] {
+  return job.accepted.spec.steps.map((spec, index) => ({
+    job,
+    occurrence,
+    index,
+    spec,
+    tasks: Array.from({ length: spec.count }, makeTask),
+    remaining: spec.count,
+    advice: {
+      asked: new Set(),
+      allowed: new Set(),
+      tickets: new Map(),
+      isPending: false,
+      notBeforeMs: 0,
+    },
+  }));
+}
+
+/** The steps of an occurrence, made at their first use. */
+export function stepsOf(job: Job, occurrence: number): Step[] {
+  let steps = job.occurrences.get(occurrence);
+  if (!steps) {
+    steps = makeSteps(job, occurrence);
+    job.occurrences.set(occurrence, steps);
+  }
+  return steps;
+}
+
+/** Number of times that the steps of a job run. */
+export function occurrenceCount(job: Job): number {
+  return job.accepted.spec.repetition?.count ?? 1;
+}
+
+/**
+ * Adds a job; a job that is known already stays as it is.
+ *
+ * @example
+ * addJob(state, accepted, clock.now());
+ */
+export function addJob(state: CellState, accepted: AcceptedJob, acceptedAtMs: number): Job {
+  const known = state.jobs.get(accepted.id);
+  if (known) return known;
+  const job: Job = {
+    accepted,
+    acceptedAtMs,
+    state: JobState.Queued,
+    occurrences: new Map(),
+  };
+  state.jobs.set(accepted.id, job);
+  state.active.add(job);
+  return job;
+}
+
+/** The runs of a job that take room. */
+export function runsOf(job: Job): Run[] {
+  return [...job.occurrences.values()].flat().flatMap((step) => step.tasks.flatMap((t) => t.runs));
+}
+
+function finish(state: CellState, job: Job, final: JobState, nowMs: number): void {
+  job.state = final;
+  job.endedAtMs = nowMs;
+  state.active.delete(job);
+}
+
+/**
+ * Cancels a job and returns its runs, which are to be stopped; a job that ended stays as it is.
+ *
+ * @example
+ * const runs = cancelJob(state, job, clock.now());
+ */
+export function cancelJob(state: CellState, job: Job, nowMs: number): Run[] {
+  if (isFinal(job.state)) return [];
+  finish(state, job, JobState.Cancelled, nowMs);
+  return runsOf(job);
+}
+
+/** Records the decision to start a task on a worker. */
+export function orderRun(
+  state: CellState,
+  {
+    step,
+    index,
+    worker,
+    attempt,
+    nowMs,
+  }: {
+    step: Step;
+    index: number;
+    worker: Worker;
+    attempt: number;
+    nowMs: number;
+  },
+): Run {
+  const task = step.tasks[index]!;
+  task.attempt = attempt;
+  if (step.job.state === JobState.Queued) step.job.state = JobState.Running;
+  const run: Run = {
+    step,
+    index,
+    attempt,
+    workerId: worker.entry.id,
+    bornMs: worker.bornMs,
+    phase: RunPhase.Ordered,
+    orderedAtMs: nowMs,
+    percent: 0,
+    progressAtMs: nowMs,
+    unsettled: false,
+  };
+  task.runs.push(run);
+  reserveRun(state, worker, run);
+  return run;
+}
+
+function settleJob(state: CellState, job: Job, nowMs: number): void {
+  if (isFinal(job.state)) return;
+  if (job.occurrences.size < occurrenceCount(job)) return;
+  const steps = [...job.occurrences.values()].flat();
+  if (steps.every(({ remaining }) => remaining === 0)) {
+    finish(state, job, JobState.Completed, nowMs);
+  }
+}
+
+function completeTask(step: Step, task: Task): void {
+  if (task.done || step.spec.longRunning) return;
+  task.done = true;
+  step.remaining -= 1;
+}
+
+function countFailure(run: Run, task: Task, maxAttempts: number): boolean {
+  // One failed end of a gang's attempt stands for all its members.
+  const tasks = run.step.spec.gang ? run.step.tasks : [task];
+  if (task.failedAttempt === run.attempt) return false;
+  tasks.forEach((member) => {
+    member.failures += 1;
+    member.failedAttempt = run.attempt;
+    member.failedOn = run.workerId;
+  });
+  return !run.step.spec.longRunning && task.failures >= maxAttempts;
+}
+
+/** What follows from the end of a run. */
+export interface EndEffects {
+  /** Runs that have become pointless. */
+  toStop: Run[];
+}
+
+/**
+ * Takes note of the end of a run.
+ *
+ * @example
+ * const { toStop } = endRun(state, run, { end: 'done', checkpoint: '' }, { maxAttempts: 3, nowMs });
+ */
+export function endRun(
+  state: CellState,
+  run: Run,
+  { end, checkpoint }: Pick<EndedRun, 'end' | 'checkpoint'>,
+  { maxAttempts, nowMs }: { maxAttempts: number; nowMs: number },
+): EndEffects {
+  const { step, index } = run;
+  const { job } = step;
+  const task = step.tasks[index]!;
+  releaseRun(state, run);
+  task.runs = task.runs.filter((other) => other !== run);
+  if (checkpoint !== '') {
+    // Any member's checkpoint is valid for its gang, and all members must carry the same.
+    const members = step.spec.gang ? step.tasks : [task];
+    members.forEach((member) => {
+      member.checkpoint = checkpoint;
+    });
+  }
+  if (isFinal(job.state)) return { toStop: [] };
+  if (end === RunEnd.Done) {
+    const finished = step.spec.gang ? step.tasks : [task];
+    finished.forEach((member) => completeTask(step, member));
+    settleJob(state, job, nowMs);
+    return { toStop: finished.flatMap(({ runs }) => (step.spec.gang ? [] : runs)) };
+  }
+  task.notBeforeMs = nowMs + retryDelayMs;
+  if (end === RunEnd.Failed && countFailure(run, task, maxAttempts)) {
+    finish(state, job, JobState.Failed, nowMs);
+    return { toStop: runsOf(job) };
+  }
+  // A gang cannot go on without a member.
+  if (step.spec.gang) return { toStop: step.tasks.flatMap(({ runs }) => runs) };
+  return { toStop: [] };
+}
+
+/** Jobs of each queue of which no task has started. */
+export function countPending(state: CellState): Map<string, number> {
+  const counts = new Map<string, number>();
+  state.active.forEach(({ state: jobState, accepted }) => {
+    if (jobState !== JobState.Queued) return;
+    counts.set(accepted.queue, (counts.get(accepted.queue) ?? 0) + 1);
+  });
+  return counts;
+}
--- /dev/null
+++ b/src/scheduler/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * The decisions of one cell: pure functions over the state of its jobs and workers.
+ */
+export * from './state.ts';
+export * from './jobs.ts';
+export * from './decide.ts';
+export * from './records.ts';
+export * from './workers.ts';
+export { objectiveMs } from './order.ts';
+export { needOf, dropPlan } from './rooms.ts';
--- /dev/null
+++ b/src/scheduler/state.ts
@@ -0,0 +1,174 @@
+/**
+ * The state of one cell: its jobs, its workers and the runs that tie them together.
+ */
+import { noResources } from '../model/mod.ts';
+import type { AcceptedJob, JobState, Resources, StepSpec, WorkerEntry } from '../model/mod.ts';
+
+/** How far a run has come. */
+export const RunPhase = {
+  /** Decided; the order may have been sent, and the run takes room. */
+  Ordered: 'ordered',
+  /** The worker has listed or confirmed it. */
+  Running: 'running',
+  /** A stop has been decided; the run takes room until its end is listed. */
+  Stopping: 'stopping',
+} as const;
+
+/** One of the values of {@link RunPhase}. */
+export type RunPhase = (typeof RunPhase)[keyof typeof RunPhase];
+
+/** One start of a task on a worker. */
+export interface Run {
+  step: Step;
+  index: number;
+  attempt: number;
+  workerId: string;
+  /** Incarnation of the worker. */
+  bornMs: number;
+  phase: RunPhase;
+  orderedAtMs: number;
+  /** Last share of the work that the worker listed, and when that share first was listed. */
+  percent: number;
+  progressAtMs: number;
+  /** An order was sent that may still be carried out. */
+  unsettled: boolean;
+}
+
+/** A task of a step. */
+export interface Task {
+  /** Highest attempt that was ordered; 0 before the first. */
+  attempt: number;
+  failures: number;
+  /** Attempt of the last failure that was counted; members of a gang share their attempts. */
+  failedAttempt: number;
+  done: boolean;
+  checkpoint: string;
+  runs: Run[];
+  /** Worker of the last failed run. */
+  failedOn?: string;
+  /** Time before which the task is not started again. */
+  notBeforeMs?: number;
+}
+
+/** Tickets of a step: permissions to run it on a worker. */
+export interface Ticket {
+  value: string;
+  bornMs: number;
+  validUntilMs: number;
+}
+
+/** What is known of the workers that may run a step. */
+export interface StepAdvice {
+  /** Workers about which the service was asked, by id and incarnation. */
+  asked: Set<string>;
+  allowed: Set<string>;
+  tickets: Map<string, Ticket>;
+  /** A call is on its way. */
+  isPending: boolean;
+  notBeforeMs: number;
+}
+
+/** Room held for tasks of a step while tickets for it are asked for. */
+export interface Plan {
+  workers: Map<string, number>;
+  untilMs: number;
+}
+
+/** A step of one occurrence of a job. */
+export interface Step {
+  job: Job;
+  occurrence: number;
+  index: number;
+  spec: StepSpec;
+  tasks: Task[];
+  /** Tasks that are not done. */
+  remaining: number;
+  advice: StepAdvice;
+  plan?: Plan;
+}
+
+/** The figures of a queue that decide about its jobs. */
+export type QueueTerms = AcceptedJob['terms'];
+
+/** A job and its progress. */
+export interface Job {
+  accepted: AcceptedJob;
+  /** Monotonic time of acceptance. */
+  acceptedAtMs: number;
+  state: JobState;
+  occurrences: Map<number, Step[]>;
+  /** Monotonic time of the final state, after which the rows are kept for a while. */
+  endedAtMs?: number;
+}
+
+/** What the scheduler believes of a worker. */
+export interface Worker {
+  entry: WorkerEntry;
+  /** Incarnation that last answered; 0 before the first answer. */
+  bornMs: number;
+  /** It has answered under this scheduler's token, so its list of runs is complete. */
+  isSettled: boolean;
+  /** The last renewal was answered. */
+  isAnswering: boolean;
+  /** Entry is in the registry. */
+  isRegistered: boolean;
+  used: Resources;
+  /** Room held by plans. */
+  held: Resources;
+  runs: Map<string, Run>;
+  /** Failed ends without a done end in between. */
+  failuresInRow: number;
+  /** Time until which nothing is placed there. */
+  avoidUntilMs: number;
+}
+
+/** Everything that the scheduler of a cell knows. */
+export interface CellState {
+  jobs: Map<string, Job>;
+  /** Jobs that are not in a final state. */
+  active: Set<Job>;
+  workers: Map<string, Worker>;
+  /** What each organisation has running. */
+  usage: Map<string, Resources>;
+}
+
+/**
+ * Makes the state of a cell without jobs and workers.
+ *
+ * @example
+ * const state = makeCellState();
+ */
+export function makeCellState(): CellState {
+  return { jobs: new Map(), active: new Set(), workers: new Map(), usage: new Map() };
+}
+
+/** Makes the belief about a worker that has just been found. */
+export function makeWorker(entry: WorkerEntry): Worker {
+  return {
+    entry,
+    bornMs: 0,
+    isSettled: false,
+    isAnswering: false,
+    isRegistered: true,
+    used: noResources,
+    held: noResources,
+    runs: new Map(),
+    failuresInRow: 0,
+    avoidUntilMs: 0,
+  };
+}
+
+/** Name of a step on the wire and in logs: job, occurrence and number. */
+export function stepName({ job, occurrence, index }: Step): string {
+  return `${job.accepted.id}.${occurrence}.${index}`;
+}
+
+/** Name of a task on the wire and in logs. */
+export function taskName(run: { step: Step; index: number }): string {
+  return `${stepName(run.step)}.${run.index}`;
+}
+
+/** Key of a run among the runs of a worker. */
+export function runKey(run: { step: Step; index: number; attempt: number }): string {
+  return `${taskName(run)}#${run.attempt}`;
+}
