--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,6 +8,8 @@
   {
     ignores: [
       'dist/**',
+      'target/**',
+      'journal/**',
       'node_modules/**',
       'src/schema/_generated/**',
       'bench-results/**',
@@ -59,6 +61,14 @@
       'max-lines': ['error', { max: 300, skipBlankLines: false, skipComments: false }],
     },
   },
+  // The scheduler's functions change the state of the cell that they are given, in place: copies of
+  // it for each event would cost more than the decisions.
+  {
+    files: ['src/scheduler/**/*.ts', 'src/cell/**/*.ts'],
+    rules: { 'no-param-reassign': ['error', { props: false }] },
+  },
+  // Declarations of modules follow the modules that they describe.
+  { files: ['**/*.d.ts'], rules: { 'import-x/no-default-export': 'off' } },
   // Programs end themselves with an exit code.
   { files: ['src/bin/**/*.ts'], rules: { 'n/no-process-exit': 'off' } },
 ];
--- /dev/null
+++ b/src/cell/_ends.ts
@@ -0,0 +1,86 @@
+/**
+ * Takes note of ended runs and of cancelled jobs, and stops what has become pointless.
+ */
+import { isFinal } from '../model/mod.ts';
+import { cancelJob, endRun, taskName, termsOf } from '../scheduler/mod.ts';
+import type { Job, ObservedEnd, Run } from '../scheduler/mod.ts';
+import type { Orders } from './_orders.ts';
+import { logFailure } from './_term_state.ts';
+import type { Term } from './_term_state.ts';
+
+/** Ends of runs and jobs. */
+export interface Ends {
+  /** Enters the ends in the state and marks their jobs; `reason` says how they are known. */
+  apply(ends: ObservedEnd[], reason: string): void;
+  cancel(jobId: string): void;
+  stopRuns(runs: Run[], reason: string): void;
+}
+
+/**
+ * Makes the keeper of ends.
+ *
+ * @example
+ * ends.apply([{ run, end: 'done', checkpoint: '' }], 'reported');
+ */
+export function makeEnds(term: Term, orders: () => Orders): Ends {
+  const { state, clock, log } = term;
+
+  function stopRuns(runs: Run[], reason: string): void {
+    runs.forEach((run) => {
+      orders().stop(run, reason).catch(logFailure(log, 'a stop'));
+    });
+  }
+
+  function maxAttemptsOf(job: Job): number {
+    const queues = term.wishes()?.configuration.queues ?? [];
+    return termsOf(job, new Map(queues.map((queue) => [queue.name, queue]))).maxAttempts;
+  }
+
+  function logJobEnd(job: Job, nowMs: number): void {
+    log.info('job ended', {
+      event: 'job-ended',
+      id: job.accepted.id,
+      state: job.state,
+      afterMs: Math.round(nowMs - job.acceptedAtMs),
+    });
+  }
+
+  function applyOne({ run, end, checkpoint }: ObservedEnd, reason: string): void {
+    const nowMs = clock.now();
+    const { job } = run.step;
+    const wasFinal = isFinal(job.state);
+    const { toStop } = endRun(
+      state,
+      run,
+      { end, checkpoint },
+      { maxAttempts: maxAttemptsOf(job), nowMs },
+    );
+    log.info('ended', {
+      event: 'ended',
+      id: job.accepted.id,
+      task: taskName(run),
+      attempt: run.attempt,
+      worker: run.workerId,
+      how: end,
+      reason,
+    });
+    if (!wasFinal && isFinal(job.state)) logJobEnd(job, nowMs);
+    stopRuns(toStop, `follows the end of ${taskName(run)}`);
+    term.markJob(job);
+  }
+
+  return {
+    apply: (ends, reason) => ends.forEach((each) => applyOne(each, reason)),
+
+    cancel(jobId) {
+      const job = state.jobs.get(jobId);
+      if (!job || isFinal(job.state)) return;
+      const runs = cancelJob(state, job, clock.now());
+      logJobEnd(job, clock.now());
+      stopRuns(runs, 'job cancelled');
+      term.markJob(job);
+    },
+
+    stopRuns,
+  };
+}
--- /dev/null
+++ b/src/cell/_fleet.ts
@@ -0,0 +1,195 @@
+/**
+ * The workers of the cell: follows their registry, keeps a link to each, and takes note of those
+ * that are silent or make no progress.
+ */
+import { RunEnd } from '../model/mod.ts';
+import type { StoredRow, WorkerEntry, WorkerReport } from '../model/mod.ts';
+import {
+  endsOfLostWorker,
+  judgeWorker,
+  makeWorker,
+  observe,
+  setSilent,
+  stalledRuns,
+} from '../scheduler/mod.ts';
+import type { Worker } from '../scheduler/mod.ts';
+import type { Ends } from './_ends.ts';
+import { logFailure, renewWithoutStoreMs } from './_term_state.ts';
+import type { Term } from './_term_state.ts';
+import { makeWorkerLink } from './worker_link.ts';
+import type { WorkerLink } from './worker_link.ts';
+
+/** The workers of the cell. */
+export interface Fleet {
+  /** Adds the workers of a first reading, without talking to them. */
+  addEntries(rows: StoredRow[]): void;
+  /** Begins to talk to all known workers. */
+  linkAll(): void;
+  takeRows(rows: StoredRow[], isWhole: boolean): void;
+  linkOf(workerId: string): WorkerLink | undefined;
+  /** Takes note of silence and of missing progress. */
+  check(): void;
+  close(): void;
+}
+
+interface LinkHandle {
+  link: WorkerLink;
+  abort: AbortController;
+}
+
+const leaseMs = 4_500;
+const stallMs = 2_500;
+
+/**
+ * Makes the keeper of the workers.
+ *
+ * @example
+ * fleet.takeRows(rows, false);
+ */
+export function makeFleet(term: Term, ends: Ends): Fleet {
+  const { state, clock, log, journal, workers, claim } = term;
+  const links = new Map<string, LinkHandle>();
+
+  function stopStranger(worker: Worker, task: string, attempt: number): void {
+    log.warn('a worker runs what this scheduler did not order', {
+      event: 'stop-stranger',
+      task,
+      attempt,
+      worker: worker.entry.id,
+    });
+    workers
+      .stop(worker.entry, { task, attempt, fencingToken: claim.epoch })
+      .catch(logFailure(log, 'a stop'));
+  }
+
+  async function takeReport(
+    worker: Worker,
+    report: WorkerReport,
+    sentAtMs: number,
+  ): Promise<boolean> {
+    const nowMs = clock.now();
+    const wasUsable = worker.isSettled && worker.isAnswering;
+    if (!wasUsable) {
+      log.info('worker found', {
+        event: 'worker-found',
+        worker: worker.entry.id,
+        born: report.bornMs,
+      });
+    }
+    const observation = observe(worker, report, { nowMs, sentAtMs });
+    observation.ends.forEach(({ end }) => judgeWorker(worker, end, nowMs));
+    ends.apply(observation.ends, 'reported');
+    observation.strangers.forEach(({ task, attempt }) => stopStranger(worker, task, attempt));
+    if (observation.ends.length > 0 || !wasUsable) term.schedulePass();
+    return report.ended.length === 0 || journal.flush();
+  }
+
+  function linkWorker(worker: Worker): void {
+    const { id } = worker.entry;
+    const abort = new AbortController();
+    const link = makeWorkerLink({
+      workers,
+      clock,
+      entry: () => worker.entry,
+      fencingToken: claim.epoch,
+      leaseMs: Math.min(leaseMs, term.maxLeaseMs),
+      predecessorUntilMs: term.predecessorUntilMs,
+      mayRenew: () => clock.now() - journal.confirmedAtMs() < renewWithoutStoreMs,
+      onReport: (report, sentAtMs) => takeReport(worker, report, sentAtMs),
+      onSilence(rejection) {
+        if (worker.isAnswering) {
+          log.warn('worker does not answer', { event: 'worker-silent', worker: id, rejection });
+        }
+        setSilent(worker);
+      },
+      onFenced: () => term.end('a worker has seen a higher fencing token'),
+    });
+    links.set(id, { link, abort });
+    link.run(abort.signal).catch(logFailure(log, 'a worker link'));
+  }
+
+  function unlinkWorker(worker: Worker): void {
+    const { id, address } = worker.entry;
+    links.get(id)?.abort.abort();
+    links.delete(id);
+    state.workers.delete(id);
+    if (address !== '') workers.forget(worker.entry);
+  }
+
+  function takeEntry(entry: WorkerEntry): void {
+    let worker = state.workers.get(entry.id);
+    if (worker) {
+      if (entry.draining && !worker.entry.draining) {
+        log.info('worker drains', { event: 'worker-draining', worker: entry.id });
+      }
+      Object.assign(worker, { entry, isRegistered: true });
+    } else {
+      worker = makeWorker(entry);
+      state.workers.set(entry.id, worker);
+    }
+    if (!links.has(entry.id)) linkWorker(worker);
+  }
+
+  function setUnregistered(id: string): void {
+    const worker = state.workers.get(id);
+    if (worker?.isRegistered) {
+      log.info('worker has left the registry', { event: 'worker-unregistered', worker: id });
+      worker.isRegistered = false;
+    }
+  }
+
+  function expireIfDead(worker: Worker, nowMs: number): void {
+    if (worker.isAnswering) return;
+    const { id } = worker.entry;
+    const deadAtMs = links.get(id)?.link.deadAtMs() ?? term.predecessorUntilMs;
+    if (nowMs < deadAtMs) return;
+    const lost = endsOfLostWorker(worker);
+    if (lost.length > 0) {
+      log.warn('worker lost', { event: 'worker-lost', worker: id, runs: lost.length });
+      ends.apply(lost, 'lease ran out');
+      term.schedulePass();
+    }
+    if (!worker.isRegistered) unlinkWorker(worker);
+  }
+
+  return {
+    addEntries(rows) {
+      rows.forEach((row) => {
+        const entry = term.decodeWorker(row);
+        if (entry) state.workers.set(entry.id, makeWorker(entry));
+      });
+    },
+
+    linkAll() {
+      state.workers.forEach((worker) => {
+        if (worker.isRegistered) linkWorker(worker);
+      });
+    },
+
+    takeRows(rows, isWhole) {
+      if (isWhole) {
+        const listed = new Set(rows.map(({ key }) => key));
+        [...state.workers.keys()].filter((id) => !listed.has(id)).forEach(setUnregistered);
+      }
+      rows.forEach((row) => {
+        const entry = row.deleted ? undefined : term.decodeWorker(row);
+        if (entry) takeEntry(entry);
+        else setUnregistered(row.key);
+      });
+    },
+
+    linkOf: (workerId) => links.get(workerId)?.link,
+
+    check() {
+      const nowMs = clock.now();
+      state.workers.forEach((worker) => expireIfDead(worker, nowMs));
+      stalledRuns(state, nowMs, stallMs).forEach((run) => {
+        const worker = state.workers.get(run.workerId);
+        if (worker) judgeWorker(worker, RunEnd.Failed, nowMs);
+        ends.stopRuns([run], 'no progress');
+      });
+    },
+
+    close: () => links.forEach(({ abort }) => abort.abort()),
+  };
+}
--- /dev/null
+++ b/src/cell/_job_rows.ts
@@ -0,0 +1,77 @@
+/**
+ * Reads what the store holds of the cell's jobs: those accepted, those cancelled, and their progress.
+ */
+import { Right } from 'purify-ts';
+
+import type { Outcome } from '../errors/mod.ts';
+import { isFinal } from '../model/mod.ts';
+import type { AcceptedJob, Store, StoredRow, StoreView } from '../model/mod.ts';
+import { addJob, restoreProgress, runsOf } from '../scheduler/mod.ts';
+import type { JobRecord } from '../scheduler/mod.ts';
+import type { Ends } from './_ends.ts';
+import { cancelledJob, jobsTable, progressPart, progressTable } from './rows.ts';
+import type { Term } from './_term_state.ts';
+
+/**
+ * Reads all parts of the jobs' table. The version is that of the oldest reading, so that a watch from
+ * it misses nothing.
+ */
+export async function readJobs(store: Store): Outcome<StoreView> {
+  const parts = await store.parts(jobsTable);
+  if (parts.isLeft()) return parts;
+  // A part that no job lies in tells the version while there are no jobs.
+  const names = [...(parts.extract() as string[]), 'none'];
+  const views = await Promise.all(names.map((part) => store.read({ table: jobsTable, part })));
+  const failed = views.find((view) => view.isLeft());
+  if (failed) return failed;
+  const whole = views.map((view) => view.extract() as StoreView);
+  return Right({
+    rows: whole.flatMap(({ rows }) => rows),
+    version: Math.min(...whole.map(({ version }) => version)),
+  });
+}
+
+/** Reads the progress of all jobs of the cell. */
+export function readProgress(store: Store): Outcome<StoreView> {
+  return store.read({ table: progressTable, part: progressPart });
+}
+
+function takeAccepted(term: Term, row: StoredRow): void {
+  if (row.deleted || cancelledJob(row.key) !== undefined || term.state.jobs.has(row.key)) return;
+  const { clock, log } = term;
+  const accepted = JSON.parse(row.value) as AcceptedJob;
+  const ageMs = Math.max(0, clock.wall() - accepted.acceptedAtMs);
+  addJob(term.state, accepted, clock.now() - ageMs);
+  log.info('job found', { event: 'job-found', id: row.key, version: row.version });
+}
+
+/** Takes accepted jobs that are new. */
+export function takeAcceptedJobs(term: Term, rows: StoredRow[]): void {
+  rows.forEach((row) => takeAccepted(term, row));
+}
+
+/** Takes jobs and cancellations that are new or have been read anew. */
+export function takeJobRows(term: Term, ends: Ends, rows: StoredRow[]): void {
+  takeAcceptedJobs(term, rows);
+  rows
+    .filter(({ deleted }) => !deleted)
+    .flatMap(({ key }) => cancelledJob(key) ?? [])
+    .forEach((id) => ends.cancel(id));
+  term.schedulePass();
+}
+
+/** Takes the progress that predecessors have stored; the jobs and workers are known already. */
+export function takeProgress(term: Term, rows: StoredRow[]): void {
+  const { state, clock } = term;
+  rows.forEach(({ key, value }) => {
+    const job = state.jobs.get(key);
+    if (job) restoreProgress(state, job, JSON.parse(value) as JobRecord, clock.now());
+  });
+}
+
+/** Stops the runs of jobs that ended while their scheduler was lost. */
+export function stopLeftOvers(term: Term, ends: Ends): void {
+  [...term.state.jobs.values()]
+    .filter(({ state }) => isFinal(state))
+    .forEach((job) => ends.stopRuns(runsOf(job), 'job ended'));
+}
--- /dev/null
+++ b/src/cell/_passes.ts
@@ -0,0 +1,94 @@
+/**
+ * Decides what to start, stores the decisions and sends their orders; asks for tickets.
+ */
+import { decide, stepName, takeAdvice } from '../scheduler/mod.ts';
+import type { AdviceRequest, Run } from '../scheduler/mod.ts';
+import type { Orders } from './_orders.ts';
+import { logFailure } from './_term_state.ts';
+import type { Term } from './_term_state.ts';
+
+/** Decides again and again. */
+export interface Passes {
+  /** Decides after a short delay, in which further changes collect. */
+  schedule(): void;
+  close(): void;
+}
+
+const passDelayMs = 3;
+const wishesAgeLimitMs = 1_700;
+const orderMarginMs = 40;
+
+/**
+ * Makes the passes.
+ *
+ * @example
+ * passes.schedule();
+ */
+export function makePasses(term: Term, orders: () => Orders): Passes {
+  const { state, clock, log, journal, advicePool } = term;
+  let timer: NodeJS.Timeout | undefined;
+
+  function takeAnswer(
+    request: AdviceRequest,
+    answer: Awaited<ReturnType<typeof advicePool.ask>>,
+  ): void {
+    const nowMs = clock.now();
+    const { step, terms } = request;
+    const validityMs = answer?.validityMs || terms.advice!.validityMs;
+    takeAdvice(request, answer?.tickets, { validUntilMs: nowMs + validityMs, nowMs });
+    log.info('advice', {
+      event: 'advice',
+      id: step.job.accepted.id,
+      step: stepName(step),
+      asked: request.workers.length,
+      ...(answer ? { allowed: answer.tickets.length } : { failed: true }),
+    });
+  }
+
+  async function askForTickets(request: AdviceRequest): Promise<void> {
+    const { decisionMs, perWorkerMs } = request.terms.advice!;
+    const answer = await advicePool.ask({
+      step: stepName(request.step),
+      workers: request.workers.map(({ entry }) => entry.id),
+      expectedMs: decisionMs + perWorkerMs * request.workers.length,
+    });
+    takeAnswer(request, answer);
+    schedule();
+  }
+
+  async function sendStarts(starts: Run[]): Promise<void> {
+    new Set(starts.map(({ step }) => step.job)).forEach(term.markJob);
+    if (!(await journal.flush())) return;
+    starts.forEach((run) => {
+      orders().start(run).catch(logFailure(log, 'a start'));
+    });
+  }
+
+  function pass(): void {
+    if (term.over.aborted) return;
+    const nowMs = clock.now();
+    const wishes = term.wishes();
+    if (!wishes || nowMs - wishes.currentAtMs > wishesAgeLimitMs) return;
+    const { starts, adviceRequests } = decide(state, {
+      nowMs,
+      wallMs: clock.wall(),
+      configuration: wishes.configuration,
+      evacuated: wishes.evacuated,
+      orderDelayMs: orderMarginMs + 2 * journal.latencyMs(),
+    });
+    adviceRequests.forEach((request) => {
+      askForTickets(request).catch(logFailure(log, 'a call for tickets'));
+    });
+    if (starts.length > 0) sendStarts(starts).catch(logFailure(log, 'sending starts'));
+  }
+
+  function schedule(): void {
+    if (timer !== undefined || term.over.aborted) return;
+    timer = setTimeout(() => {
+      timer = undefined;
+      pass();
+    }, passDelayMs);
+  }
+
+  return { schedule, close: () => clearTimeout(timer) };
+}
--- /dev/null
+++ b/src/cell/_term_state.ts
@@ -0,0 +1,64 @@
+/**
+ * What the parts of a scheduler's term share.
+ */
+import type { Clock } from '../clock/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import type { Configuration, Store, StoredRow, WorkerEntry, Workers } from '../model/mod.ts';
+import type { CellState, Job } from '../scheduler/mod.ts';
+import type { AdvicePool } from './advice_pool.ts';
+import type { Journal } from './journal.ts';
+
+/** What the scheduler knows of the operator's wishes. */
+export interface Wishes {
+  configuration: Configuration;
+  evacuated: ReadonlySet<string>;
+  /** Monotonic time at which this was last known to be current. */
+  currentAtMs: number;
+}
+
+/** What a term is made of. */
+export interface TermOptions {
+  store: Store;
+  workers: Workers;
+  clock: Clock;
+  log: Log;
+  advicePool: AdvicePool;
+  registryTable: string;
+  decodeWorker(row: StoredRow): WorkerEntry | undefined;
+  wishes(): Wishes | undefined;
+  claim: { epoch: number; instance: string; sequence: { version: number; value: string } };
+  /** Whether the predecessor may still renew leases. */
+  predecessorMayAct: boolean;
+  /** Longest lease that a worker grants. */
+  maxLeaseMs: number;
+  onLost(reason: string): void;
+}
+
+/** The state of a term and the acts that all its parts use. */
+export interface Term extends Omit<TermOptions, 'onLost' | 'predecessorMayAct'> {
+  state: CellState;
+  journal: Journal;
+  /** Aborted once the term is over. */
+  over: AbortSignal;
+  startedAtMs: number;
+  /** Monotonic time until which a predecessor's orders may keep runs alive. */
+  predecessorUntilMs: number;
+  /** Marks a job's progress to be stored. */
+  markJob(job: Job): void;
+  /** Decides again soon. */
+  schedulePass(): void;
+  end(reason: string): void;
+}
+
+/** A scheduler that cannot reach the store stops renewing leases after this time. */
+export const renewWithoutStoreMs = 12_000;
+
+/** Logs the failure of a promise that nothing waits for. */
+export function logFailure(log: Log, what: string): (error: unknown) => void {
+  return (error) =>
+    log.error(`${what} failed`, {
+      event: 'defect',
+      reason: String(error),
+      stack: (error as Error).stack,
+    });
+}
--- a/src/cell/mod.ts
+++ b/src/cell/mod.ts
@@ -6,7 +6,8 @@
 export * from './follower.ts';
 export * from './leadership.ts';
 export * from './members.ts';
-export * from './reign.ts';
+export * from './term.ts';
+export type { TermOptions, Wishes } from './_term_state.ts';
 export {
   cancellationRow,
   claimRow,
--- /dev/null
+++ b/src/cell/term.ts
@@ -0,0 +1,223 @@
+/**
+ * The term of one scheduler: from a won claim until it is resigned or lost.
+ *
+ * It reads all rows of the cell, raises the fencing token at every worker, and then decides. Each
+ * decision is stored before its orders are sent; each end is stored before it is confirmed to the
+ * worker.
+ */
+import type { Outcome } from '../errors/mod.ts';
+import { Rejection, RunEnd } from '../model/mod.ts';
+import type { StoreView } from '../model/mod.ts';
+import { countPending, encodeProgress, makeCellState, taskName } from '../scheduler/mod.ts';
+import { makeEnds } from './_ends.ts';
+import { makeFleet } from './_fleet.ts';
+import type { Fleet } from './_fleet.ts';
+import {
+  readJobs,
+  readProgress,
+  stopLeftOvers,
+  takeAcceptedJobs,
+  takeJobRows,
+  takeProgress,
+} from './_job_rows.ts';
+import { makeOrders } from './_orders.ts';
+import type { Orders } from './_orders.ts';
+import { makePasses } from './_passes.ts';
+import type { Passes } from './_passes.ts';
+import { makeRetention } from './_retention.ts';
+import { renewWithoutStoreMs } from './_term_state.ts';
+import type { Term, TermOptions } from './_term_state.ts';
+import { makeFollower } from './follower.ts';
+import { makeJournal } from './journal.ts';
+import type { Journal } from './journal.ts';
+import { heartbeatRow, jobsTable, progressRow, sequenceRow } from './rows.ts';
+
+/** The term of a scheduler. */
+export interface SchedulerTerm {
+  /** Serves until the term ends. */
+  run(): Promise<void>;
+  /** Ends the term: sends no more orders. */
+  stop(): void;
+}
+
+interface Parts {
+  journal: Journal;
+  fleet: Fleet;
+  orders: Orders;
+  passes: Passes;
+}
+
+const heartbeatMs = 400;
+const tickMs = 100;
+const readRetryMs = 100;
+const avoidUnhealthyMs = 1_500;
+const leaseSlowness = 1.025;
+const registryPauseMs = 150;
+
+/**
+ * Makes the term of a scheduler that has won its claim.
+ *
+ * @example
+ * const term = makeTerm(options);
+ * await term.run();
+ */
+export function makeTerm(options: TermOptions): SchedulerTerm {
+  const { store, clock, log, claim, workers } = options;
+  const over = new AbortController();
+  const startedAtMs = clock.now();
+  const state = makeCellState();
+  // The parts know each other through this record, since they depend on each other in a circle.
+  const parts = {} as Parts;
+
+  function end(reason: string): void {
+    if (over.signal.aborted) return;
+    log.warn('the term as scheduler ends', { event: 'scheduler-lost', epoch: claim.epoch, reason });
+    over.abort();
+    parts.journal.close();
+    parts.passes.close();
+    parts.fleet.close();
+    options.onLost(reason);
+  }
+
+  parts.journal = makeJournal({
+    store,
+    clock,
+    log,
+    sequenceRow,
+    start: claim.sequence,
+    author: `${claim.epoch}.${claim.instance}`,
+    onDeposed: () => end('another scheduler has written'),
+  });
+  const term: Term = {
+    ...options,
+    state,
+    over: over.signal,
+    startedAtMs,
+    predecessorUntilMs:
+      startedAtMs +
+      options.maxLeaseMs * leaseSlowness +
+      (options.predecessorMayAct ? renewWithoutStoreMs : 0),
+    journal: parts.journal,
+    markJob: (job) =>
+      parts.journal.mark(progressRow(job.accepted.id), () =>
+        JSON.stringify(encodeProgress(job, clock.wall())),
+      ),
+    schedulePass: () => parts.passes.schedule(),
+    end,
+  };
+  const ends = makeEnds(term, () => parts.orders);
+  const fleet = makeFleet(term, ends);
+  parts.fleet = fleet;
+  parts.orders = makeOrders({
+    state,
+    workers,
+    clock,
+    log,
+    fencingToken: claim.epoch,
+    linkOf: fleet.linkOf,
+    isOver: () => over.signal.aborted,
+    onRejected(run, rejection) {
+      const worker = state.workers.get(run.workerId);
+      if (rejection === Rejection.Ticket) run.step.advice.tickets.delete(run.workerId);
+      if (rejection === Rejection.Unhealthy && worker) {
+        worker.avoidUntilMs = Math.max(worker.avoidUntilMs, clock.now() + avoidUnhealthyMs);
+      }
+      ends.apply([{ run, end: RunEnd.Expired, checkpoint: '' }], `rejected: ${rejection}`);
+      term.schedulePass();
+    },
+    onStarted(run) {
+      log.info('started', {
+        event: 'started',
+        id: run.step.job.accepted.id,
+        task: taskName(run),
+        attempt: run.attempt,
+        worker: run.workerId,
+        afterMs: Math.round(clock.now() - run.orderedAtMs),
+      });
+    },
+    onFenced: () => end('a worker has seen a higher fencing token'),
+  });
+  parts.passes = makePasses(term, () => parts.orders);
+  const retention = makeRetention(term);
+
+  async function readUntilRead(read: () => Outcome<StoreView>): Promise<StoreView> {
+    for (;;) {
+      const result = await read();
+      if (result.isRight()) return result.extract();
+      if (over.signal.aborted) return { rows: [], version: 0 };
+      await clock.sleep(readRetryMs);
+    }
+  }
+
+  const readRegistry = () => store.read({ table: options.registryTable, part: '' });
+
+  /** Reads what predecessors have left; nothing is decided before. */
+  async function load(): Promise<void> {
+    const [progress, jobs, registry] = await Promise.all([
+      readUntilRead(() => readProgress(store)),
+      readUntilRead(() => readJobs(store)),
+      readUntilRead(readRegistry),
+    ]);
+    if (over.signal.aborted) return;
+    takeAcceptedJobs(term, jobs.rows);
+    fleet.addEntries(registry.rows);
+    takeProgress(term, progress.rows);
+    fleet.linkAll();
+    takeJobRows(term, ends, jobs.rows);
+    stopLeftOvers(term, ends);
+    log.info('the cell is loaded', {
+      event: 'scheduler-loaded',
+      epoch: claim.epoch,
+      jobs: state.active.size,
+      workers: state.workers.size,
+      afterMs: Math.round(clock.now() - startedAtMs),
+    });
+  }
+
+  async function tick(): Promise<void> {
+    while (!over.signal.aborted) {
+      fleet.check();
+      retention.check();
+      term.schedulePass();
+      await clock.sleep(tickMs, over.signal);
+    }
+  }
+
+  async function beat(): Promise<void> {
+    while (!over.signal.aborted) {
+      term.journal.mark(heartbeatRow, () =>
+        JSON.stringify({
+          epoch: claim.epoch,
+          pending: Object.fromEntries(countPending(state)),
+        }),
+      );
+      await clock.sleep(heartbeatMs, over.signal);
+    }
+  }
+
+  return {
+    stop: () => end('resigned'),
+    async run() {
+      const beating = beat();
+      await load();
+      const follow = { store, clock, log };
+      await Promise.all([
+        beating,
+        tick(),
+        makeFollower({
+          ...follow,
+          table: jobsTable,
+          readAll: () => readJobs(store),
+          onRows: (rows) => takeJobRows(term, ends, rows),
+        }).run(over.signal),
+        makeFollower({
+          ...follow,
+          table: options.registryTable,
+          readAll: readRegistry,
+          onRows: fleet.takeRows,
+          pauseMs: registryPauseMs,
+        }).run(over.signal),
+      ]);
+    },
+  };
+}
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -200,7 +200,7 @@
   /** The stored state; undefined for a job that is not known. */
   async function readState(jobId: string): Outcome<JobState | undefined> {
     const progress = await store.read({ ...progressRow(jobId) });
-    if (progress.isLeft()) return progress as never;
+    if (progress.isLeft()) return progress;
     const [row] = progress.orDefault({ rows: [], version: 0 }).rows;
     if (row) return Right((JSON.parse(row.value) as { state: JobState }).state);
     const job = await store.read({ ...jobRow(jobId) });
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -5,13 +5,12 @@
 
 import { Left } from 'purify-ts';
 
-import { makeAdvicePool, makeLeadership, makeReign } from '../cell/mod.ts';
-import type { Member, Reign, WonClaim } from '../cell/mod.ts';
+import { makeAdvicePool, makeLeadership, makeTerm } from '../cell/mod.ts';
+import type { Leadership, Member, SchedulerTerm, WonClaim } from '../cell/mod.ts';
 import type { Clock, Random } from '../clock/mod.ts';
 import { failure, Kind, refuse } from '../errors/mod.ts';
-import type { Outcome } from '../errors/mod.ts';
 import { listen, makeFront, makeRouteTable } from '../front/mod.ts';
-import type { ClientAnswer, ClientCall, HttpRequest, RouteTable } from '../front/mod.ts';
+import type { HttpRequest, RouteTable } from '../front/mod.ts';
 import type { Log } from '../logs/mod.ts';
 import type { Store, Workers } from '../model/mod.ts';
 import {
@@ -29,10 +28,10 @@
 } from '../../platform/mod.ts';
 import type { Adviser, HostSettings } from '../../platform/mod.ts';
 import { makeMembership } from './membership.ts';
+import { makePeerGroup } from './peer_group.ts';
 import { makePeerClient, servePeers } from './peers.ts';
 import type { AdviceQuestion } from './peers.ts';
 import { makeWishes } from './wishes.ts';
-import type { WishesMessage } from './wishes.ts';
 
 /** What an entry process is made of. */
 export interface HostOptions {
@@ -55,7 +54,6 @@
 const pingEveryMs = 250;
 const pendingAgeLimitMs = 1_900;
 const freshnessMarginMs = 350;
-const relayTries = 2;
 const strongProcessors = 2;
 const claimDelayPerProcessorMs = 150;
 const instanceBytes = 4;
@@ -83,12 +81,15 @@
   };
   const peers = makePeerClient();
   const membership = makeMembership({ store, clock, log: logs.host, self });
-  let reign: Reign | undefined;
+  let term: SchedulerTerm | undefined;
   let isDraining = false;
   let routes: RouteTable | undefined;
 
+  // The election tells the other parts who schedules, and itself depends on them.
+  const election: { leadership?: Leadership } = {};
+
   function others(): Member[] {
-    const claim = leadership.claim();
+    const claim = election.leadership?.claim();
     return membership
       .members()
       .filter(({ name }) => name !== self.name)
@@ -97,17 +98,7 @@
       );
   }
 
-  async function askPeers(): Promise<WishesMessage | undefined> {
-    const answers = await Promise.all(
-      others()
-        .slice(0, 3)
-        .map(({ address }) => peers.wishes(address)),
-    );
-    return answers
-      .flatMap((answer) => (answer.isRight() ? [answer.extract() as WishesMessage] : []))
-      .sort((a, b) => b.version - a.version || a.ageMs - b.ageMs)[0];
-  }
-
+  const group = makePeerGroup(peers, others);
   const wishes = makeWishes({
     store,
     clock,
@@ -116,13 +107,13 @@
     configurationKey,
     decodeConfiguration,
     evacuatedDataCentre,
-    askPeers,
+    askPeers: group.askWishes,
   });
 
   function advise({ step, workers: ids, timeoutMs }: AdviceQuestion) {
     return adviser
       ? adviser(step, ids, timeoutMs)
-      : Promise.resolve(refuse<never>(Kind.PeerUnavailable, 'no advice service is set'));
+      : Promise.resolve(refuse(Kind.PeerUnavailable, 'no advice service is set'));
   }
 
   const advicePool = makeAdvicePool({
@@ -137,9 +128,9 @@
     },
   });
 
-  function beginReign(won: WonClaim): void {
-    reign?.stop();
-    const next = makeReign({
+  function beginTerm(won: WonClaim): void {
+    term?.stop();
+    const next = makeTerm({
       store,
       workers,
       clock,
@@ -152,10 +143,10 @@
       predecessorMayAct: won.predecessorMayAct,
       maxLeaseMs: settings.maxLeaseMs,
       onLost() {
-        if (reign === next) reign = undefined;
+        if (term === next) term = undefined;
       },
     });
-    reign = next;
+    term = next;
     next.run().catch((error: unknown) => {
       logs.cell.error('the term failed', { event: 'scheduler-failed', reason: String(error) });
       next.stop();
@@ -170,10 +161,12 @@
     self: { name: self.name, instance: self.instance, address: self.address },
     claimDelayMs: Math.max(0, strongProcessors - settings.processors) * claimDelayPerProcessorMs,
     mayClaim: () => !isDraining && wishes.current() !== undefined,
-    onWon: beginReign,
-    onOther: () => reign?.stop(),
+    onWon: beginTerm,
+    onOther: () => term?.stop(),
   });
 
+  election.leadership = leadership;
+
   function currentRoutes(): RouteTable | undefined {
     const current = wishes.current();
     if (!current) return undefined;
@@ -185,28 +178,6 @@
     return routes;
   }
 
-  async function relay(call: ClientCall): Outcome<ClientAnswer> {
-    let isUnknown = false;
-    for (const { address } of others().slice(0, relayTries)) {
-      const answer = await peers.relay(address, call);
-      if (answer.isRight()) {
-        const { status } = answer.extract() as ClientAnswer;
-        if (status !== 503 && status !== 504) return answer;
-        isUnknown ||= status === 504;
-      } else {
-        const kind = answer
-          .swap()
-          .map((problem) => problem.kind)
-          .extract();
-        isUnknown ||= kind === Kind.OutcomeUnknown;
-      }
-    }
-    return refuse(
-      isUnknown ? Kind.OutcomeUnknown : Kind.PeerUnavailable,
-      'no other process could serve the call',
-    );
-  }
-
   const front = makeFront({
     store,
     clock,
@@ -217,7 +188,7 @@
       if (!heartbeat || clock.now() - heartbeat.seenAtMs > pendingAgeLimitMs) return undefined;
       return heartbeat.pending[queue] ?? 0;
     },
-    relay,
+    relay: group.relay,
     isJobId,
     decodeJob,
     encodeState,
@@ -246,8 +217,8 @@
   }
 
   function answerReadiness({ path }: HttpRequest) {
-    if (path !== readinessPath) return { status: 404, body: '{}' };
     const isReady = !isDraining && currentRoutes() !== undefined;
+    if (path !== readinessPath) return { status: 404, body: '{}' };
     return { status: isReady ? 200 : 503, body: '{}' };
   }
 
@@ -263,7 +234,10 @@
   }
 
   const onError = (error: unknown) =>
-    logs.front.error('a call failed', { reason: String(error), stack: (error as Error).stack });
+    logs.host.error('a call or a loop failed', {
+      reason: String(error),
+      stack: (error as Error).stack,
+    });
   let servers: Awaited<ReturnType<typeof listen>>[] = [];
 
   return {
@@ -299,14 +273,7 @@
         leadership.run(over.signal),
         watchScheduler(),
       ];
-      loops.forEach((loop) =>
-        loop.catch((error: unknown) =>
-          logs.host.error('a loop failed', {
-            reason: String(error),
-            stack: (error as Error).stack,
-          }),
-        ),
-      );
+      loops.forEach((loop) => loop.catch(onError));
     },
 
     async stop() {
@@ -314,7 +281,7 @@
       logs.host.info('stopping', { event: 'stop', open: servers[0]?.openConnections() });
       const deadlineMs = clock.now() + settings.graceMs - graceMarginMs;
       const resigning = leadership.resign(resignTimeoutMs);
-      reign?.stop();
+      term?.stop();
       await resigning;
       // New connections still arrive until the platform has noticed that this process is not ready.
       await clock.sleep(drainNoticeMs);
--- /dev/null
+++ b/src/host/peer_group.ts
@@ -0,0 +1,59 @@
+/**
+ * Calls to whichever other entry process can serve them: the scheduler's first, then the rest.
+ */
+import type { Member } from '../cell/mod.ts';
+import { Kind, refuse } from '../errors/mod.ts';
+import type { Outcome } from '../errors/mod.ts';
+import type { ClientAnswer, ClientCall } from '../front/mod.ts';
+import type { PeerClient } from './peers.ts';
+import type { WishesMessage } from './wishes.ts';
+
+/** The other entry processes. */
+export interface PeerGroup {
+  /** Passes a client's call on. */
+  relay(call: ClientCall): Outcome<ClientAnswer>;
+  /** The newest of what some others know of the operator's wishes. */
+  askWishes(): Promise<WishesMessage | undefined>;
+}
+
+const relayTries = 2;
+const wishesAsked = 3;
+const unavailableStatus = 503;
+const unknownStatus = 504;
+
+/**
+ * Makes the group; `others` lists the other processes, those to be asked first at the head.
+ *
+ * @example
+ * const answer = await group.relay(call);
+ */
+export function makePeerGroup(peers: PeerClient, others: () => Member[]): PeerGroup {
+  return {
+    async relay(call) {
+      let isUnknown = false;
+      for (const { address } of others().slice(0, relayTries)) {
+        const answer = await peers.relay(address, call);
+        const status = answer.map((given) => given.status).orDefault(0);
+        if (answer.isRight() && status !== unavailableStatus && status !== unknownStatus) {
+          return answer;
+        }
+        const isLost = answer
+          .swap()
+          .toMaybe()
+          .filter(({ kind }) => kind === Kind.OutcomeUnknown);
+        isUnknown ||= status === unknownStatus || isLost.isJust();
+      }
+      return refuse(
+        isUnknown ? Kind.OutcomeUnknown : Kind.PeerUnavailable,
+        'no other process could serve the call',
+      );
+    },
+
+    async askWishes() {
+      const asked = others().slice(0, wishesAsked);
+      const answers = await Promise.all(asked.map(({ address }) => peers.wishes(address)));
+      const messages = answers.flatMap((answer) => answer.toMaybe().toList());
+      return messages.sort((a, b) => b.version - a.version || a.ageMs - b.ageMs)[0];
+    },
+  };
+}
--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -14,7 +14,6 @@
   chooseWorkers,
   isEligible,
   isUsable,
-  placesOn,
   placesWithinLimit,
 } from './placement.ts';
 import type { Conditions } from './placement.ts';
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -2,7 +2,8 @@
  * The durable record of a job's progress: what a successor needs to go on without starting a task
  * twice. Written before the starts that it lists are ordered.
  */
-import { isFinal, JobState } from '../model/mod.ts';
+import type { JobState } from '../model/mod.ts';
+import { isFinal } from '../model/mod.ts';
 import { stepsOf } from './jobs.ts';
 import { reserveRun } from './rooms.ts';
 import { makeWorker, RunPhase } from './state.ts';
--- a/src/scheduler/workers.ts
+++ b/src/scheduler/workers.ts
@@ -3,7 +3,7 @@
  */
 import { RunEnd } from '../model/mod.ts';
 import type { EndedRun, WorkerReport } from '../model/mod.ts';
-import { RunPhase, runKey, taskName } from './state.ts';
+import { RunPhase, runKey } from './state.ts';
 import type { CellState, Run, Worker } from './state.ts';
 
 /** A run and the end that a report implies. */
@@ -145,7 +145,7 @@
     );
 }
 
-/** Short text of a run for logs. */
-export function describeRun(run: Run): string {
-  return `${taskName(run)}#${run.attempt}@${run.workerId}`;
+/** Notes that a worker did not answer. */
+export function setSilent(worker: Worker): void {
+  worker.isAnswering = false;
 }
