Let a silent worker's lease run out, and never refuse after an unknown write

Now a silent worker gets renewals without a lease. Now only a success of the other process is passed on. Steps without room are skipped, passes take at most a quarter of the time.

--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -9,6 +9,7 @@
   judgeWorker,
   makeWorker,
   observe,
+  refreshFree,
   setSilent,
   stalledRuns,
 } from '../scheduler/mod.ts';
@@ -123,6 +124,7 @@
         log.info('worker drains', { event: 'worker-draining', worker: entry.id });
       }
       Object.assign(worker, { entry, isRegistered: true });
+      refreshFree(worker);
     } else {
       worker = makeWorker(entry);
       state.workers.set(entry.id, worker);
--- a/src/cell/_passes.ts
+++ b/src/cell/_passes.ts
@@ -15,6 +15,8 @@
 }
 
 const passDelayMs = 3;
+/** At most this share of the time is spent on passes. */
+const passShare = 0.25;
 const wishesAgeLimitMs = 1_700;
 const orderMarginMs = 40;
 
@@ -27,6 +29,7 @@
 export function makePasses(term: Term, orders: () => Orders): Passes {
   const { state, clock, log, journal, advicePool } = term;
   let timer: NodeJS.Timeout | undefined;
+  let earliestMs = 0;
 
   function takeAnswer(
     request: AdviceRequest,
@@ -84,10 +87,16 @@
 
   function schedule(): void {
     if (timer !== undefined || term.over.aborted) return;
-    timer = setTimeout(() => {
-      timer = undefined;
-      pass();
-    }, passDelayMs);
+    timer = setTimeout(
+      () => {
+        timer = undefined;
+        const startedAtMs = clock.now();
+        pass();
+        const endedAtMs = clock.now();
+        earliestMs = endedAtMs + (endedAtMs - startedAtMs) * (1 / passShare - 1);
+      },
+      Math.max(passDelayMs, earliestMs - clock.now()),
+    );
   }
 
   return { schedule, close: () => clearTimeout(timer) };
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -12,7 +12,10 @@
 /** The connection to one worker. */
 export interface WorkerLink {
   run(signal: AbortSignal): Promise<void>;
-  /** Lease end for an order that is sent now, on the worker's clock; undefined before it answered. */
+  /**
+   * Lease end for an order that is sent now, on the worker's clock; undefined while it does not
+   * answer, since any order sent to a silent worker would put off the time at which it is dead.
+   */
   leaseUntilMs(): number | undefined;
   /** Monotonic time after which nothing runs there any more unless the lease is renewed. */
   deadAtMs(): number;
@@ -53,7 +56,7 @@
   const { workers, clock, entry, fencingToken, leaseMs, onReport, onSilence, onFenced } = options;
   let lastSeen = 0;
   let bornMs: number | undefined;
-  /** The worker's clock and our time when it was read, at the latest. */
+  /** The worker's clock and our time when it was read, at the latest; unknown while it is silent. */
   let reading: { workerMs: number; atMs: number } | undefined;
   let deadAtMs = options.predecessorUntilMs;
 
@@ -74,14 +77,14 @@
     if (isStored) lastSeen = isNewIncarnation ? newest : Math.max(lastSeen, newest);
   }
 
-  async function renew(isFirst: boolean): Promise<void> {
+  async function renew(): Promise<void> {
     const sentAtMs = clock.now();
     const until = leaseUntilMs();
     const result = await workers.renew(entry(), {
       fencingToken,
       lastSeen,
       ...(until === undefined ? {} : { leaseUntilMs: until }),
-      waitMs: isFirst ? 0 : renewWaitMs,
+      waitMs: until === undefined ? 0 : renewWaitMs,
     });
     if (typeof result !== 'string') {
       await take(result, sentAtMs);
@@ -91,6 +94,7 @@
       onFenced();
       return;
     }
+    reading = undefined;
     onSilence(result);
     await clock.sleep(retryMs);
   }
@@ -99,14 +103,9 @@
     leaseUntilMs,
     deadAtMs: () => deadAtMs,
     async run(signal) {
-      let isFirst = true;
       while (!signal.aborted) {
-        if (options.mayRenew()) {
-          await renew(isFirst);
-          isFirst = reading === undefined;
-        } else {
-          await clock.sleep(retryMs, signal);
-        }
+        if (options.mayRenew()) await renew();
+        else await clock.sleep(retryMs, signal);
       }
     },
   };
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -133,7 +133,7 @@
       },
       Right: (answer) =>
         // Another process knows only of its own try; ours may still take effect.
-        isUnknown && (answer.status === 503 || answer.status === 429)
+        isUnknown && answer.status !== 200
           ? errorAnswer(504, 'the outcome is unknown, send the call again')
           : answer,
     });
--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -12,12 +12,12 @@
 import {
   chooseForGang,
   chooseWorkers,
+  hasRoom,
   isEligible,
   isUsable,
   placesWithinLimit,
 } from './placement.ts';
-import type { Conditions } from './placement.ts';
-import { dropPlan, freeRoom, holdPlan } from './rooms.ts';
+import { dropPlan, holdPlan } from './rooms.ts';
 import type { CellState, Job, QueueTerms, Run, Step, Worker } from './state.ts';
 
 /** A call for tickets. */
@@ -122,7 +122,7 @@
 }
 
 function byRoom(a: Worker, b: Worker): number {
-  return freeRoom(b).cpu - freeRoom(a).cpu;
+  return b.free.cpu - a.free.cpu;
 }
 
 /** Asks about workers that were not asked about yet, those with most room first. */
@@ -136,7 +136,8 @@
 interface Pass extends DecisionInputs {
   state: CellState;
   lookup: Lookup;
-  conditions: Conditions;
+  /** Workers that take new work now. */
+  usable: Worker[];
   decisions: Decisions;
 }
 
@@ -213,9 +214,8 @@
   );
   const wanted = Math.min(waiting.length, withinLimit);
   if (wanted === 0 || (step.spec.gang && wanted < step.spec.count)) return;
-  const usable = [...state.workers.values()].filter(
-    (worker) => isEligible(worker, step, service) && isUsable(worker, pass.conditions),
-  );
+  const usable = pass.usable.filter((worker) => isEligible(worker, step, service));
+  if (!step.plan && !hasRoom(step, usable)) return;
   if (terms.advice) {
     placeWithAdvice(pass, step, usable, waiting, wanted, terms);
     return;
@@ -241,7 +241,7 @@
     ...inputs,
     state,
     lookup,
-    conditions: { nowMs, evacuated },
+    usable: [...state.workers.values()].filter((worker) => isUsable(worker, { nowMs, evacuated })),
     decisions,
   };
   const ranked = [...state.active]
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -3,6 +3,7 @@
  */
 import { isFinal, JobState, RunEnd } from '../model/mod.ts';
 import type { AcceptedJob, EndedRun } from '../model/mod.ts';
+import { longestChainMs } from './order.ts';
 import { releaseRun, reserveRun } from './rooms.ts';
 import { RunPhase } from './state.ts';
 import type { CellState, Job, Run, Step, Task, Worker } from './state.ts';
@@ -60,6 +61,7 @@
     accepted,
     acceptedAtMs,
     state: JobState.Queued,
+    chainMs: longestChainMs(accepted.spec.steps),
     occurrences: new Map(),
   };
   state.jobs.set(accepted.id, job);
--- a/src/scheduler/mod.ts
+++ b/src/scheduler/mod.ts
@@ -7,4 +7,4 @@
 export * from './records.ts';
 export * from './workers.ts';
 export { objectiveMs } from './order.ts';
-export { needOf, dropPlan } from './rooms.ts';
+export { needOf, refreshFree } from './rooms.ts';
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -20,7 +20,7 @@
 
 /** Time within which a job should be done, in milliseconds from its acceptance. */
 export function objectiveMs(job: Job, terms: QueueTerms): number {
-  return terms.targetFactor * longestChainMs(job.accepted.spec.steps) + terms.targetLatencyMs;
+  return terms.targetFactor * job.chainMs + terms.targetLatencyMs;
 }
 
 /** Place of a step in the order; lower values first, compared one by one. */
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -6,7 +6,7 @@
  */
 import { add, copiesThatFit, fits, noResources, subtract, times } from '../model/mod.ts';
 import type { Resources } from '../model/mod.ts';
-import { freeRoom, needOf } from './rooms.ts';
+import { needOf } from './rooms.ts';
 import type { Step, Worker } from './state.ts';
 
 /** Which workers may take new work. */
@@ -46,10 +46,21 @@
   return runs.filter((run) => run.workerId === workerId).length;
 }
 
+/** Whether some worker has room for a task of the step, or together they have it for a gang. */
+export function hasRoom(step: Step, workers: Worker[]): boolean {
+  const need = needOf(step);
+  if (!step.spec.gang) return workers.some(({ free }) => fits(need, free));
+  let places = 0;
+  return workers.some(({ free }) => {
+    places += copiesThatFit(need, free);
+    return places >= step.spec.count;
+  });
+}
+
 /** How many tasks of the step a worker can take now. */
 export function placesOn(step: Step, worker: Worker, taken = 0): number {
   const need = needOf(step);
-  const room = subtract(freeRoom(worker), times(need, taken));
+  const room = taken === 0 ? worker.free : subtract(worker.free, times(need, taken));
   const { maxPerWorker } = step.spec;
   const byRoom = copiesThatFit(need, room);
   if (maxPerWorker === 0) return byRoom;
@@ -63,7 +74,7 @@
 
 /** Processor that would be left on a worker. */
 function slack(worker: Worker, need: Resources): number {
-  return freeRoom(worker).cpu - need.cpu;
+  return worker.free.cpu - need.cpu;
 }
 
 /**
--- a/src/scheduler/rooms.ts
+++ b/src/scheduler/rooms.ts
@@ -11,9 +11,9 @@
   return spec.fillsIdleCapacity ? { ...spec.need, cpu: 0 } : spec.need;
 }
 
-/** Room of a worker that neither runs nor plans take. */
-export function freeRoom(worker: Worker): Resources {
-  return subtract(subtract(worker.entry.capacity, worker.used), worker.held);
+/** Computes the free room of a worker anew, after a change of what is taken or of its capacity. */
+export function refreshFree(worker: Worker): void {
+  worker.free = subtract(subtract(worker.entry.capacity, worker.used), worker.held);
 }
 
 function changeUsage(state: CellState, organisation: string, change: Resources): void {
@@ -24,6 +24,7 @@
 export function reserveRun(state: CellState, worker: Worker, run: Run): void {
   worker.runs.set(runKey(run), run);
   worker.used = add(worker.used, needOf(run.step));
+  refreshFree(worker);
   changeUsage(state, run.step.job.accepted.organisation, run.step.spec.need);
 }
 
@@ -32,13 +33,16 @@
   const worker = state.workers.get(run.workerId);
   if (!worker?.runs.delete(runKey(run))) return;
   worker.used = subtract(worker.used, needOf(run.step));
+  refreshFree(worker);
   changeUsage(state, run.step.job.accepted.organisation, times(run.step.spec.need, -1));
 }
 
 function changeHeld(state: CellState, step: Step, plan: Plan, sign: 1 | -1): void {
   plan.workers.forEach((count, id) => {
     const worker = state.workers.get(id);
-    if (worker) worker.held = add(worker.held, times(needOf(step), sign * count));
+    if (!worker) return;
+    worker.held = add(worker.held, times(needOf(step), sign * count));
+    refreshFree(worker);
   });
 }
 
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -96,6 +96,8 @@
   /** Monotonic time of acceptance. */
   acceptedAtMs: number;
   state: JobState;
+  /** Duration of the longest chain of steps. */
+  chainMs: number;
   occurrences: Map<number, Step[]>;
   /** Monotonic time of the final state, after which the rows are kept for a while. */
   endedAtMs?: number;
@@ -115,6 +117,8 @@
   used: Resources;
   /** Room held by plans. */
   held: Resources;
+  /** Capacity that neither runs nor plans take. */
+  free: Resources;
   runs: Map<string, Run>;
   /** Failed ends without a done end in between. */
   failuresInRow: number;
@@ -152,6 +156,7 @@
     isRegistered: true,
     used: noResources,
     held: noResources,
+    free: entry.capacity,
     runs: new Map(),
     failuresInRow: 0,
     avoidUntilMs: 0,
