Serve what can be in time first, and refuse beyond a share when busy

Cause: under a hot tenant and bursts the oldest work went first, so that all of it was late, and what one tenant sent beyond its share pushed others back. Steps are now ranked by what serving them still gains. Jobs beyond the share of their organisation (weight, in jobs a second) come last and are refused with 429 while their queue is busy. Calls that need the store are refused at once while it is known not to answer; before, they were held to their deadline.

--- a/src/cell/_job_rows.ts
+++ b/src/cell/_job_rows.ts
@@ -31,6 +31,9 @@
   });
 }
 
+/** Jobs a second that an organisation without a weight may hand in. */
+const defaultWeight = 1;
+
 /** Reads the progress of all jobs of the cell. */
 export function readProgress(store: Store): Outcome<StoreView> {
   return store.read({ table: progressTable, part: progressPart });
@@ -41,13 +44,19 @@
   const { clock, log } = term;
   const accepted = JSON.parse(row.value) as AcceptedJob;
   const ageMs = Math.max(0, clock.wall() - accepted.acceptedAtMs);
-  addJob(term.state, accepted, clock.now() - ageMs);
+  const organisation = term
+    .wishes()
+    ?.configuration.organisations.find(({ name }) => name === accepted.organisation);
+  addJob(term.state, accepted, {
+    acceptedAtMs: clock.now() - ageMs,
+    weight: organisation?.weight ?? defaultWeight,
+  });
   log.info('job found', { event: 'job-found', id: row.key, version: row.version });
 }
 
-/** Takes accepted jobs that are new. */
+/** Takes accepted jobs that are new, in the order in which they were stored. */
 export function takeAcceptedJobs(term: Term, rows: StoredRow[]): void {
-  rows.forEach((row) => takeAccepted(term, row));
+  [...rows].sort((a, b) => a.version - b.version).forEach((row) => takeAccepted(term, row));
 }
 
 /** Takes jobs and cancellations that are new or have been read anew. */
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -34,6 +34,9 @@
 export interface Heartbeat {
   epoch: number;
   pending: Record<string, number>;
+  /** What is to be refused; see `pressureOf`. */
+  busyQueues: string[];
+  beyondShare: string[];
   /** Our monotonic time when it was seen. */
   seenAtMs: number;
 }
@@ -101,8 +104,13 @@
     if (row.deleted) return;
     if (row.key === claimRow.key) takeClaim(row);
     if (row.key !== heartbeatRow.key) return;
-    const { epoch, pending } = JSON.parse(row.value) as Heartbeat;
-    heartbeat = { epoch, pending, seenAtMs: clock.now() };
+    const {
+      epoch,
+      pending,
+      busyQueues = [],
+      beyondShare = [],
+    } = JSON.parse(row.value) as Partial<Heartbeat> & Pick<Heartbeat, 'epoch' | 'pending'>;
+    heartbeat = { epoch, pending, busyQueues, beyondShare, seenAtMs: clock.now() };
     signAtMs = clock.now();
   }
 
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -8,7 +8,13 @@
 import type { Outcome } from '../errors/mod.ts';
 import { Rejection, RunEnd } from '../model/mod.ts';
 import type { StoreView } from '../model/mod.ts';
-import { countPending, encodeProgress, makeCellState, taskName } from '../scheduler/mod.ts';
+import {
+  countPending,
+  encodeProgress,
+  makeCellState,
+  pressureOf,
+  taskName,
+} from '../scheduler/mod.ts';
 import { makeEnds } from './_ends.ts';
 import { makeFleet } from './_fleet.ts';
 import type { Fleet } from './_fleet.ts';
@@ -183,14 +189,16 @@
     }
   }
 
+  function heartbeatText(): string {
+    const wishes = options.wishes();
+    const pressure = wishes && pressureOf(state, wishes.configuration, clock.now());
+    const pending = Object.fromEntries(countPending(state));
+    return JSON.stringify({ epoch: claim.epoch, pending, ...pressure });
+  }
+
   async function beat(): Promise<void> {
     while (!over.signal.aborted) {
-      term.journal.mark(heartbeatRow, () =>
-        JSON.stringify({
-          epoch: claim.epoch,
-          pending: Object.fromEntries(countPending(state)),
-        }),
-      );
+      term.journal.mark(heartbeatRow, heartbeatText);
       await clock.sleep(heartbeatMs, over.signal);
     }
   }
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -13,34 +13,11 @@
 import type { Failure, Outcome } from '../errors/mod.ts';
 import type { Log } from '../logs/mod.ts';
 import { JobState } from '../model/mod.ts';
-import type {
-  AcceptedJob,
-  JobSpec,
-  Organisation,
-  Queue,
-  Store,
-  StoreChange,
-} from '../model/mod.ts';
+import type { AcceptedJob, JobSpec, Organisation, Queue, Store } from '../model/mod.ts';
+import { errorAnswer, passOn as passOnTo, refusal, success } from './_answers.ts';
+import type { ClientAnswer, ClientCall, Relay } from './_answers.ts';
 import type { RouteTable } from './routes.ts';
 
-/** A client's call. */
-export interface ClientCall {
-  method: string;
-  host: string;
-  path: string;
-  key: string | undefined;
-  body: string;
-  /** Another entry process has passed the call on. */
-  isRelayed: boolean;
-}
-
-/** The answer to a call. */
-export interface ClientAnswer {
-  status: number;
-  body: string;
-  retryAfterS?: number;
-}
-
 /** What the front end uses. */
 export interface FrontOptions {
   store: Store;
@@ -50,8 +27,12 @@
   routes(): RouteTable | undefined;
   /** Jobs that wait in a queue; undefined when the count is too old. */
   pendingIn(queue: string): number | undefined;
+  /** Whether there is no room for a further job of the organisation in the queue. */
+  isOverloaded(queue: string, organisation: string): boolean;
+  /** Whether the store is known not to answer. */
+  isStoreDown(): boolean;
   /** Passes a call on; a Left when no other process answered it. */
-  relay(call: ClientCall): Outcome<ClientAnswer>;
+  relay: Relay;
   isJobId(text: string): boolean;
   decodeJob(text: string): Either<Failure, JobSpec>;
   encodeState(state: JobState): string;
@@ -63,9 +44,6 @@
   answer(call: ClientCall): Promise<ClientAnswer>;
 }
 
-const retryAfterS = 1;
-const storeTries = 2;
-
 /** A call whose queue and organisation are known. */
 interface RoutedCall extends ClientCall {
   queue: Queue;
@@ -73,18 +51,6 @@
   jobId: string;
 }
 
-function answerOf(status: number, body = '{}'): ClientAnswer {
-  return { status, body };
-}
-
-function refusal(status: number, reason: string): ClientAnswer {
-  return { status, body: JSON.stringify({ error: reason }), retryAfterS };
-}
-
-function errorAnswer(status: number, reason: string): ClientAnswer {
-  return { status, body: JSON.stringify({ error: reason }) };
-}
-
 /**
  * Makes the front end.
  *
@@ -94,49 +60,8 @@
 export function makeFront(options: FrontOptions): Front {
   const { store, clock, log, routes, relay } = options;
 
-  /** Sends a change again while its outcome is unknown; the change must be idempotent. */
-  async function transact(change: StoreChange): Outcome<number> {
-    let result = await store.transact(change);
-    let isUnknown = false;
-    for (let tries = 1; tries < storeTries; tries++) {
-      const kind = result
-        .swap()
-        .toMaybe()
-        .map((problem) => problem.kind)
-        .extractNullable();
-      if (kind !== Kind.TableUnknown && kind !== Kind.TableUnavailable) return result;
-      isUnknown ||= kind === Kind.TableUnknown;
-      result = await store.transact(change);
-    }
-    return result.mapLeft((problem) =>
-      isUnknown && problem.kind === Kind.TableUnavailable
-        ? { ...problem, kind: Kind.TableUnknown }
-        : problem,
-    );
-  }
-
-  /** The answer of another process, or a refusal of our own. */
-  async function passOn(call: ClientCall, problem: Failure): Promise<ClientAnswer> {
-    const isUnknown = problem.kind === Kind.TableUnknown;
-    const giveUp = () =>
-      isUnknown
-        ? errorAnswer(504, 'the outcome is unknown, send the call again')
-        : refusal(503, 'the store is unavailable');
-    if (call.isRelayed) return giveUp();
-    const relayed = await relay(call);
-    return relayed.caseOf({
-      Left: (relayProblem) => {
-        const mayHaveRun = isUnknown || relayProblem.kind === Kind.OutcomeUnknown;
-        return mayHaveRun
-          ? errorAnswer(504, 'the outcome is unknown, send the call again')
-          : refusal(503, 'the store is unavailable');
-      },
-      Right: (answer) =>
-        // Another process knows only of its own try; ours may still take effect.
-        isUnknown && answer.status !== 200
-          ? errorAnswer(504, 'the outcome is unknown, send the call again')
-          : answer,
-    });
+  function passOn(call: ClientCall, problem: Failure): Promise<ClientAnswer> {
+    return passOnTo(call, problem, relay);
   }
 
   function acceptedJob(call: RoutedCall, spec: JobSpec): AcceptedJob {
@@ -168,7 +93,17 @@
     }
     const spec = decoded.extract() as JobSpec;
     const row = jobRow(call.jobId);
-    const stored = await transact({
+    if (options.isOverloaded(call.queue.name, call.organisation)) {
+      log.info('job refused', {
+        event: 'job-refused',
+        id: call.jobId,
+        queue: call.queue.name,
+        organisation: call.organisation,
+        reason: 'the organisation is beyond its share and the queue is busy',
+      });
+      return refusal(429, 'more jobs than the share of the organisation, and no room for them now');
+    }
+    const stored = await store.transact({
       expected: [{ ...row, version: 0 }],
       writes: [{ ...row, value: JSON.stringify(acceptedJob(call, spec)) }],
       deletes: [],
@@ -181,11 +116,11 @@
           queue: call.queue.name,
           organisation: call.organisation,
         });
-        return answerOf(200);
+        return success();
       },
       Left: (problem) => {
         // The row exists: the job was accepted before.
-        if (problem.kind === Kind.TableConflict) return answerOf(200);
+        if (problem.kind === Kind.TableConflict) return success();
         log.warn('job not stored', {
           event: 'job-not-stored',
           id: call.jobId,
@@ -214,7 +149,7 @@
       Right: (state) =>
         state === undefined
           ? errorAnswer(410, 'there is no such job')
-          : answerOf(200, options.encodeState(state)),
+          : success(options.encodeState(state)),
     });
   }
 
@@ -226,7 +161,7 @@
     if (known.orDefault({ rows: [], version: 0 }).rows.length === 0) {
       return errorAnswer(410, 'there is no such job');
     }
-    const stored = await transact({
+    const stored = await store.transact({
       expected: [],
       writes: [{ ...cancellationRow(call.jobId), value: '{}' }],
       deletes: [],
@@ -234,7 +169,7 @@
     return stored.caseOf<ClientAnswer | Promise<ClientAnswer>>({
       Right: () => {
         log.info('cancellation stored', { event: 'cancellation-stored', id: call.jobId });
-        return answerOf(200);
+        return success();
       },
       Left: (problem) => passOn(call, problem),
     });
@@ -242,7 +177,7 @@
 
   async function count(call: RoutedCall): Promise<ClientAnswer> {
     const pending = options.pendingIn(call.queue.name);
-    if (pending !== undefined) return answerOf(200, options.encodePending(pending));
+    if (pending !== undefined) return success(options.encodePending(pending));
     return passOn(call, failure(Kind.NotFresh, 'the count is too old'));
   }
 
@@ -259,6 +194,9 @@
 
   function serve(call: RoutedCall): Promise<ClientAnswer> {
     const { method, jobId } = call;
+    if (options.isStoreDown() && jobId !== '') {
+      return passOn(call, failure(Kind.TableUnavailable, 'the store does not answer'));
+    }
     if (jobId === '') {
       return method === 'GET'
         ? count(call)
--- a/src/front/mod.ts
+++ b/src/front/mod.ts
@@ -1,6 +1,7 @@
 /**
  * The interface to clients.
  */
+export type { ClientAnswer, ClientCall, Relay } from './_answers.ts';
 export * from './front.ts';
 export * from './routes.ts';
 export * from './server.ts';
--- a/src/front/server.ts
+++ b/src/front/server.ts
@@ -4,6 +4,8 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
+import type { Front } from './front.ts';
+
 /** What a handler gets. */
 export interface HttpRequest {
   method: string;
@@ -114,3 +116,30 @@
     );
   });
 }
+
+/**
+ * Answers a client's request as the front end says.
+ *
+ * @example
+ * handle: (request) => serveClient(front, request);
+ */
+export async function serveClient(front: Front, request: HttpRequest): Promise<HttpAnswer> {
+  const { method, path, headers, body } = request;
+  const {
+    status,
+    body: text,
+    retryAfterS,
+  } = await front.answer({
+    method,
+    path,
+    host: headers.host ?? '',
+    key: /^Bearer (.+)$/i.exec(headers.authorization ?? '')?.[1],
+    body,
+    isRelayed: false,
+  });
+  return {
+    status,
+    body: text,
+    ...(retryAfterS === undefined ? {} : { headers: { 'retry-after': String(retryAfterS) } }),
+  };
+}
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -9,7 +9,7 @@
 import type { Leadership, Member, SchedulerTerm, WonClaim } from '../cell/mod.ts';
 import type { Clock, Random } from '../clock/mod.ts';
 import { failure, Kind, refuse } from '../errors/mod.ts';
-import { listen, makeFront, makeRouteTable } from '../front/mod.ts';
+import { listen, makeFront, makeRouteTable, serveClient } from '../front/mod.ts';
 import type { HttpRequest, RouteTable } from '../front/mod.ts';
 import type { Log } from '../logs/mod.ts';
 import type { Store, Workers } from '../model/mod.ts';
@@ -31,6 +31,7 @@
 import { makePeerGroup } from './peer_group.ts';
 import { makePeerClient, servePeers } from './peers.ts';
 import type { AdviceQuestion } from './peers.ts';
+import { watchStore } from './store_health.ts';
 import { makeWishes } from './wishes.ts';
 
 /** What an entry process is made of. */
@@ -70,7 +71,9 @@
  * await host.start();
  */
 export function makeHost(options: HostOptions): Host {
-  const { settings, clock, random, logs, store, workers, adviser } = options;
+  const { settings, clock, random, logs, workers, adviser } = options;
+  const storeHealth = watchStore(options.store);
+  const { store } = storeHealth;
   const over = new AbortController();
   const self: Member = {
     name: settings.name,
@@ -188,6 +191,13 @@
       if (!heartbeat || clock.now() - heartbeat.seenAtMs > pendingAgeLimitMs) return undefined;
       return heartbeat.pending[queue] ?? 0;
     },
+    isOverloaded(queue, organisation) {
+      const heartbeat = leadership.heartbeat();
+      if (!heartbeat || clock.now() - heartbeat.seenAtMs > pendingAgeLimitMs) return false;
+      const { busyQueues, beyondShare } = heartbeat;
+      return busyQueues.includes(queue) && beyondShare.includes(organisation);
+    },
+    isStoreDown: storeHealth.isDown,
     relay: group.relay,
     isJobId,
     decodeJob,
@@ -195,27 +205,6 @@
     encodePending,
   });
 
-  async function serveClient({ method, path, headers, body }: HttpRequest) {
-    const key = /^Bearer (.+)$/i.exec(headers.authorization ?? '')?.[1];
-    const {
-      status,
-      body: text,
-      retryAfterS,
-    } = await front.answer({
-      method,
-      path,
-      host: headers.host ?? '',
-      key,
-      body,
-      isRelayed: false,
-    });
-    return {
-      status,
-      body: text,
-      ...(retryAfterS === undefined ? {} : { headers: { 'retry-after': String(retryAfterS) } }),
-    };
-  }
-
   function answerReadiness({ path }: HttpRequest) {
     const isReady = !isDraining && currentRoutes() !== undefined;
     if (path !== readinessPath) return { status: 404, body: '{}' };
@@ -246,7 +235,7 @@
         listen({
           address: settings.listen.callers,
           maxBodyBytes: () => wishes.current()?.configuration.maxBodyBytes ?? 262_144,
-          handle: serveClient,
+          handle: (request) => serveClient(front, request),
           onError,
         }),
         listen({
--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -43,7 +43,7 @@
 }
 
 const connections = 16;
-const relayTimeoutMs = 2_200;
+const relayTimeoutMs = 1_300;
 const wishesTimeoutMs = 500;
 const pingTimeoutMs = 500;
 const adviceMarginMs = 200;
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -1,6 +1,9 @@
 /**
- * The order in which steps are served when there is not room for all: by priority of the queue, then
- * by the end of the job's objective; work that can no longer be in time comes after all other work.
+ * The order in which steps are served when there is not room for all: work that can be done within
+ * its objective first, then by priority of the queue and by the end of the objective.
+ *
+ * Load answered: more work than room. Serving the oldest first would make all of it late; so work that
+ * can only be late waits behind work that can be in time.
  */
 import type { StepSpec } from '../model/mod.ts';
 import type { Job, QueueTerms, Step } from './state.ts';
@@ -23,13 +26,39 @@
   return terms.targetFactor * job.chainMs + terms.targetLatencyMs;
 }
 
+/** How much a job still gains by being served now; lower comes first. */
+export const Urgency = {
+  /** It can be done within its objective. */
+  InTime: 0,
+  /** It can be done late, while it still is worth something. */
+  Late: 1,
+  /** Its organisation has handed in more than its share. */
+  BeyondShare: 2,
+  /** It can no longer be done while it is worth something. */
+  TooLate: 3,
+} as const;
+
+/** One of the values of {@link Urgency}. */
+export type Urgency = (typeof Urgency)[keyof typeof Urgency];
+
 /** Place of a step in the order; lower values first, compared one by one. */
 export interface Rank {
-  isHopeless: boolean;
+  urgency: Urgency;
   priority: number;
   dueAtMs: number;
 }
 
+function urgencyOf(step: Step, objective: number, nowMs: number): Urgency {
+  const { job } = step;
+  const waitedMs = nowMs - job.acceptedAtMs;
+  const neededMs = step.spec.estimatedMs;
+  if (waitedMs + neededMs > lateFactor * objective) return Urgency.TooLate;
+  if (job.isBeyondShare) return Urgency.BeyondShare;
+  // A job that has begun is worth finishing before others begin.
+  const hasBegun = job.state !== 'queued';
+  return waitedMs + neededMs > objective && !hasBegun ? Urgency.Late : Urgency.InTime;
+}
+
 /**
  * Ranks a step of a job.
  *
@@ -38,9 +67,8 @@
  */
 export function rankOf(step: Step, terms: QueueTerms, nowMs: number): Rank {
   const objective = objectiveMs(step.job, terms);
-  const latestEndMs = step.job.acceptedAtMs + lateFactor * objective;
   return {
-    isHopeless: nowMs + step.spec.estimatedMs > latestEndMs,
+    urgency: urgencyOf(step, objective, nowMs),
     priority: terms.priority,
     dueAtMs: step.job.acceptedAtMs + objective,
   };
@@ -48,6 +76,5 @@
 
 /** Compares two ranks; negative when the first comes first. */
 export function compareRanks(a: Rank, b: Rank): number {
-  if (a.isHopeless !== b.isHopeless) return a.isHopeless ? 1 : -1;
-  return a.priority - b.priority || a.dueAtMs - b.dueAtMs;
+  return a.urgency - b.urgency || a.priority - b.priority || a.dueAtMs - b.dueAtMs;
 }
--- /dev/null
+++ b/src/scheduler/pressure.ts
@@ -0,0 +1,54 @@
+/**
+ * Which further jobs cannot be served soon, so that they are refused at once.
+ *
+ * Load answered: more work than room for seconds. Where jobs of a queue wait for a notable part of
+ * their objective, organisations beyond their share are refused; where even jobs within their share
+ * have waited until they can only be late, the queue refuses all.
+ */
+import type { Configuration } from '../model/mod.ts';
+import { termsOf } from './decide.ts';
+import { objectiveMs } from './order.ts';
+import { isBeyondShare } from './shares.ts';
+import type { CellState } from './state.ts';
+
+/** What the entry processes refuse for now. */
+export interface Pressure {
+  /** Queues that have no room for what is beyond a share. */
+  busyQueues: string[];
+  /** Organisations beyond their share. */
+  beyondShare: string[];
+}
+
+/** A queue is busy when a job has waited for this part of its objective ... */
+const busyPart = 0.35;
+/** ... and at least this long. */
+const busyWaitMs = 300;
+
+/**
+ * Computes what is to be refused at present.
+ *
+ * @example
+ * const { busyQueues } = pressureOf(state, configuration, clock.now());
+ */
+export function pressureOf(
+  state: CellState,
+  configuration: Configuration,
+  nowMs: number,
+): Pressure {
+  const queues = new Map(configuration.queues.map((queue) => [queue.name, queue]));
+  const busy = new Set<string>();
+  state.active.forEach((job) => {
+    const { queue } = job.accepted;
+    if (job.state !== 'queued' || job.accepted.spec.repetition || busy.has(queue)) return;
+    const limitMs = Math.max(busyWaitMs, busyPart * objectiveMs(job, termsOf(job, queues)));
+    if (nowMs - job.acceptedAtMs > limitMs) busy.add(queue);
+  });
+  return {
+    busyQueues: [...busy],
+    beyondShare: configuration.organisations
+      .filter(({ name, weight }) =>
+        isBeyondShare(state.shares, { organisation: name, weight }, nowMs),
+      )
+      .map(({ name }) => name),
+  };
+}
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -3,6 +3,7 @@
  */
 import { noResources } from '../model/mod.ts';
 import type { AcceptedJob, JobState, Resources, StepSpec, WorkerEntry } from '../model/mod.ts';
+import type { ShareAccount } from './shares.ts';
 
 /** How far a run has come. */
 export const RunPhase = {
@@ -95,6 +96,8 @@
   accepted: AcceptedJob;
   /** Monotonic time of acceptance. */
   acceptedAtMs: number;
+  /** Handed in beyond the share of its organisation. */
+  isBeyondShare: boolean;
   state: JobState;
   /** Duration of the longest chain of steps. */
   chainMs: number;
@@ -134,6 +137,8 @@
   workers: Map<string, Worker>;
   /** What each organisation has running. */
   usage: Map<string, Resources>;
+  /** What each organisation may still hand in within its share. */
+  shares: Map<string, ShareAccount>;
 }
 
 /**
@@ -143,7 +148,13 @@
  * const state = makeCellState();
  */
 export function makeCellState(): CellState {
-  return { jobs: new Map(), active: new Set(), workers: new Map(), usage: new Map() };
+  return {
+    jobs: new Map(),
+    active: new Set(),
+    workers: new Map(),
+    usage: new Map(),
+    shares: new Map(),
+  };
 }
 
 /** Makes the belief about a worker that has just been found. */
