--- a/src/scheduler/workers.ts
+++ b/src/scheduler/workers.ts
@@ -132,7 +132,17 @@
   worker.avoidUntilMs = nowMs + Math.min(maxAvoidMs, avoidMs * 2 ** doublings);
 }
 
-/** The runs of a worker that have shown no progress for the time. */
+/** Share of the work at which a run only waits for the rest of its gang. */
+const allPercent = 100;
+
+/** When a run last got on; members of a gang get on together, since those that are done wait. */
+function lastProgressMs(run: Run): number {
+  if (!run.step.spec.gang) return run.progressAtMs;
+  const members = run.step.tasks.flatMap(({ runs }) => runs);
+  return Math.max(...members.map(({ progressAtMs }) => progressAtMs));
+}
+
+/** The running runs that have shown no progress for the time. */
 export function stalledRuns(state: CellState, nowMs: number, stallMs: number): Run[] {
   return [...state.workers.values()]
     .filter(({ isAnswering }) => isAnswering)
@@ -141,7 +151,8 @@
       (run) =>
         run.phase === RunPhase.Running &&
         !run.step.spec.longRunning &&
-        nowMs - run.progressAtMs > stallMs,
+        run.percent < allPercent &&
+        nowMs - lastProgressMs(run) > stallMs,
     );
 }
 
