--- /dev/null
+++ b/src/cell/worker_link_test.ts
@@ -0,0 +1,105 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type { Clock } from '../clock/mod.ts';
+import { Rejection } from '../model/mod.ts';
+import type { WorkerReport, Workers } from '../model/mod.ts';
+import { workerEntry } from '../testing/fake_cell.ts';
+import { makeWorkerLink } from './worker_link.ts';
+
+const test = suite('worker link');
+
+type Renewal = Parameters<Workers['renew']>[1];
+
+/** A link whose worker answers as told; each answer takes 100 ms of a clock that tests advance. */
+function setUp(answers: (WorkerReport | Rejection)[]) {
+  const abort = new AbortController();
+  const renewals: Renewal[] = [];
+  const events = { fenced: false, stored: true };
+  let nowMs = 0;
+  const clock: Clock = {
+    now: () => nowMs,
+    wall: () => 0,
+    async sleep(ms) {
+      nowMs += ms;
+    },
+  };
+  const workers = {
+    async renew(_worker: unknown, request: Renewal) {
+      renewals.push(request);
+      nowMs += 100;
+      const answer = answers.shift();
+      if (answers.length === 0) abort.abort();
+      return answer!;
+    },
+  } as unknown as Workers;
+  const link = makeWorkerLink({
+    workers,
+    clock,
+    entry: () => workerEntry('w1'),
+    fencingToken: 7,
+    leaseMs: 4_000,
+    predecessorUntilMs: 0,
+    mayRenew: () => true,
+    onReport: async () => events.stored,
+    onSilence: () => undefined,
+    onFenced() {
+      events.fenced = true;
+    },
+  });
+  return { link, renewals, events, run: () => link.run(abort.signal), nowMs: () => nowMs };
+}
+
+function report(clockMs: number, fields: Partial<WorkerReport> = {}): WorkerReport {
+  return { clockMs, bornMs: 1, running: [], ended: [], ...fields };
+}
+
+function ended(sequence: number) {
+  return { sequence, task: 'a.0.0.0', attempt: 1, end: 'done' as const, checkpoint: '' };
+}
+
+test('the renewals of a silent worker do not put off the time at which it is dead', async () => {
+  const silence = Array.from({ length: 60 }, () => Rejection.Unknown);
+  const { link, renewals, run, nowMs } = setUp([report(50_000), Rejection.Unknown, ...silence]);
+  await run();
+  const extending = renewals.filter(({ leaseUntilMs }) => leaseUntilMs !== undefined);
+  assert.is(extending.length, 1, 'only the renewal that went out before the silence');
+  assert.ok(link.deadAtMs() < nowMs());
+  assert.is(link.leaseUntilMs(), undefined, 'no start may go out with a lease');
+});
+
+test('ends are confirmed to the worker only after they have been stored', async () => {
+  const { renewals, events, run } = setUp([
+    report(0, { ended: [ended(3)] }),
+    report(100),
+    report(200),
+  ]);
+  events.stored = false;
+  await run();
+  assert.equal(
+    renewals.map(({ lastSeen }) => lastSeen),
+    [0, 0, 0],
+  );
+});
+
+test('a new incarnation counts its ends anew', async () => {
+  const { renewals, run } = setUp([
+    report(0, { ended: [ended(57)] }),
+    report(5, { bornMs: 2 }),
+    report(9, { bornMs: 2, ended: [ended(1)] }),
+    report(12, { bornMs: 2 }),
+  ]);
+  await run();
+  assert.equal(
+    renewals.map(({ lastSeen }) => lastSeen),
+    [0, 57, 0, 1],
+  );
+});
+
+test('a worker that has seen a higher token ends the term', async () => {
+  const { events, run } = setUp([Rejection.Fenced]);
+  await run();
+  assert.ok(events.fenced);
+});
+
+test.run();
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -9,7 +9,7 @@
 import { RunPhase } from './state.ts';
 import type { CellState, Job, Run, Step, Task, Worker } from './state.ts';
 
-/** Delay before a task that failed is started again. */
+/** Delay before a task is placed again that did not start, or whose run was lost. */
 const retryDelayMs = 50;
 
 function makeTask(): Task {
@@ -203,7 +203,7 @@
     settleJob(state, job, nowMs);
     return { toStop: finished.flatMap(({ runs }) => (step.spec.gang ? [] : runs)) };
   }
-  task.notBeforeMs = nowMs + retryDelayMs;
+  if (end === RunEnd.Expired) task.notBeforeMs = nowMs + retryDelayMs;
   if (end === RunEnd.Failed && countFailure(run, task, maxAttempts)) {
     finish(state, job, JobState.Failed, nowMs);
     return { toStop: runsOf(job) };
--- /dev/null
+++ b/src/scheduler/workers_test.ts
@@ -0,0 +1,156 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { RunEnd } from '../model/mod.ts';
+import type { WorkerReport } from '../model/mod.ts';
+import {
+  acceptedJob,
+  addWorker,
+  cellWith,
+  configuration,
+  stepSpec,
+  submit,
+} from '../testing/fake_cell.ts';
+import { decide } from './decide.ts';
+import { addJob } from './jobs.ts';
+import { encodeProgress, restoreProgress } from './records.ts';
+import type { JobRecord } from './records.ts';
+import { makeCellState, RunPhase, taskName } from './state.ts';
+import type { CellState, Run } from './state.ts';
+import { judgeWorker, observe, stalledRuns } from './workers.ts';
+
+const test = suite('workers');
+
+function startAll(state: CellState): Run[] {
+  const { starts } = decide(state, {
+    nowMs: 0,
+    wallMs: 0,
+    configuration: configuration(),
+    evacuated: new Set(),
+    orderDelayMs: 0,
+  });
+  starts.forEach((run) => {
+    run.phase = RunPhase.Running;
+  });
+  return starts;
+}
+
+function report(fields: Partial<WorkerReport> = {}): WorkerReport {
+  return { clockMs: 0, bornMs: 1, running: [], ended: [], ...fields };
+}
+
+function listed(run: Run, percent = 0) {
+  return { task: taskName(run), attempt: run.attempt, checkpoint: '', percent, usage: 0 };
+}
+
+test('a run of an earlier incarnation is lost, and one of the present is not', () => {
+  const state = cellWith(1);
+  submit(state, acceptedJob('a', [stepSpec({ count: 2 })]));
+  const [first, second] = startAll(state);
+  second!.bornMs = 2;
+  const worker = state.workers.get('w1')!;
+  const { ends } = observe(worker, report({ bornMs: 2, running: [listed(second!)] }), {
+    nowMs: 10,
+    sentAtMs: 5,
+  });
+  assert.equal(
+    ends.map(({ run, end }) => [run, end]),
+    [[first, RunEnd.Expired]],
+  );
+});
+
+test('an order under way when the list was made is not taken to be lost', () => {
+  const state = cellWith(1);
+  submit(state, acceptedJob('a', [stepSpec()]));
+  const [run] = startAll(state);
+  const worker = state.workers.get('w1')!;
+  Object.assign(run!, { progressAtMs: 100 });
+  assert.is(observe(worker, report(), { nowMs: 120, sentAtMs: 90 }).ends.length, 0);
+  Object.assign(run!, { unsettled: true });
+  assert.is(observe(worker, report(), { nowMs: 220, sentAtMs: 200 }).ends.length, 0);
+  Object.assign(run!, { unsettled: false });
+  assert.is(observe(worker, report(), { nowMs: 320, sentAtMs: 300 }).ends.length, 1);
+});
+
+test('a successor takes runs that its first list does not show as never started', () => {
+  const state = cellWith(0);
+  const worker = addWorker(state, 'w1');
+  submit(state, acceptedJob('a', [stepSpec({ count: 2 })]));
+  const [kept, lost] = startAll(state);
+  [kept, lost].forEach((run) => {
+    run!.phase = RunPhase.Ordered;
+  });
+  worker.isSettled = false;
+  const { ends } = observe(worker, report({ running: [listed(kept!)] }), {
+    nowMs: 10,
+    sentAtMs: 5,
+  });
+  assert.equal(
+    ends.map(({ run }) => run),
+    [lost],
+  );
+  assert.ok(worker.isSettled);
+});
+
+test('runs that nobody ordered are reported', () => {
+  const state = cellWith(1);
+  const worker = state.workers.get('w1')!;
+  const stranger = { task: 'x.0.0.0', attempt: 1, checkpoint: '', percent: 0, usage: 0 };
+  const { strangers } = observe(worker, report({ running: [stranger] }), { nowMs: 1, sentAtMs: 0 });
+  assert.is(strangers[0]!.task, 'x.0.0.0');
+});
+
+test('a member of a gang that waits for the others is not stalled', () => {
+  const state = cellWith(2);
+  submit(state, acceptedJob('a', [stepSpec({ count: 2, gang: true })]));
+  const [waiting, working] = startAll(state);
+  Object.assign(waiting!, { percent: 99, progressAtMs: 0 });
+  Object.assign(working!, { percent: 70, progressAtMs: 9_000 });
+  assert.is(stalledRuns(state, 10_000, 2_500).length, 0);
+  assert.is(stalledRuns(state, 12_000, 2_500).length, 2);
+});
+
+test('a worker that fails what it starts is avoided for longer each time, until one is done', () => {
+  const worker = addWorker(makeCellState(), 'w1');
+  judgeWorker(worker, RunEnd.Failed, 0);
+  assert.is(worker.avoidUntilMs, 0);
+  judgeWorker(worker, RunEnd.Failed, 0);
+  const once = worker.avoidUntilMs;
+  judgeWorker(worker, RunEnd.Failed, 0);
+  assert.ok(worker.avoidUntilMs > once && once > 0);
+  judgeWorker(worker, RunEnd.Done, 0);
+  assert.is(worker.failuresInRow, 0);
+});
+
+test('progress survives its record: attempts, failures, done tasks and runs', () => {
+  const state = cellWith(2);
+  const accepted = acceptedJob('a', [stepSpec({ count: 3 })]);
+  const job = submit(state, accepted);
+  const [, run] = startAll(state);
+  const task = job.occurrences.get(0)![0]!.tasks[0]!;
+  Object.assign(task, { done: true, failures: 1, checkpoint: 'c1', runs: [] });
+  const record = JSON.parse(JSON.stringify(encodeProgress(job, 5))) as JobRecord;
+
+  const successor = makeCellState();
+  const restored = addJob(successor, accepted, { acceptedAtMs: 0, weight: 1 });
+  restoreProgress(successor, restored, record, 100);
+  const [step] = restored.occurrences.get(0)!;
+  assert.is(step!.remaining, 2);
+  assert.equal(
+    step!.tasks.map(({ attempt, failures, done, checkpoint }) => [
+      attempt,
+      failures,
+      done,
+      checkpoint,
+    ]),
+    [
+      [1, 1, true, 'c1'],
+      [1, 0, false, ''],
+      [1, 0, false, ''],
+    ],
+  );
+  assert.is(successor.workers.get(run!.workerId)!.isRegistered, false);
+  assert.is(successor.usage.get('mill')!.cpu, 2_000);
+});
+
+test.run();
