Make calls for tickets in order of urgency, and renew leases while the store is down

Calls for tickets of all steps were queued at the service, one at a time for a host, lookups of 8 ms behind plans of 800 ms. Calls now wait at the scheduler, and the most urgent step takes the next free host. Cause 3: members were dropped when the store had been silent. Also: shares of the fleet by weight in place of a share of jobs a second.

--- a/src/cell/_job_rows.ts
+++ b/src/cell/_job_rows.ts
@@ -31,9 +31,6 @@
   });
 }
 
-/** Jobs a second that an organisation without a weight may hand in. */
-const defaultWeight = 1;
-
 /** Reads the progress of all jobs of the cell. */
 export function readProgress(store: Store): Outcome<StoreView> {
   return store.read({ table: progressTable, part: progressPart });
@@ -44,13 +41,7 @@
   const { clock, log } = term;
   const accepted = JSON.parse(row.value) as AcceptedJob;
   const ageMs = Math.max(0, clock.wall() - accepted.acceptedAtMs);
-  const organisation = term
-    .wishes()
-    ?.configuration.organisations.find(({ name }) => name === accepted.organisation);
-  addJob(term.state, accepted, {
-    acceptedAtMs: clock.now() - ageMs,
-    weight: organisation?.weight ?? defaultWeight,
-  });
+  addJob(term.state, accepted, clock.now() - ageMs);
   log.info('job found', { event: 'job-found', id: row.key, version: row.version });
 }
 
--- a/src/cell/_passes.ts
+++ b/src/cell/_passes.ts
@@ -4,6 +4,7 @@
 import { decide, stepName, takeAdvice } from '../scheduler/mod.ts';
 import type { AdviceRequest, Run } from '../scheduler/mod.ts';
 import type { Orders } from './_orders.ts';
+import type { AdviceSlot, Tickets } from './advice_pool.ts';
 import { logFailure } from './_term_state.ts';
 import type { Term } from './_term_state.ts';
 
@@ -31,10 +32,7 @@
   let timer: NodeJS.Timeout | undefined;
   let earliestMs = 0;
 
-  function takeAnswer(
-    request: AdviceRequest,
-    answer: Awaited<ReturnType<typeof advicePool.ask>>,
-  ): void {
+  function takeAnswer(request: AdviceRequest, answer: Tickets | undefined): void {
     const nowMs = clock.now();
     const { step, terms } = request;
     const validityMs = answer?.validityMs || terms.advice!.validityMs;
@@ -48,12 +46,10 @@
     });
   }
 
-  async function askForTickets(request: AdviceRequest): Promise<void> {
-    const { decisionMs, perWorkerMs } = request.terms.advice!;
-    const answer = await advicePool.ask({
+  async function askForTickets(request: AdviceRequest<AdviceSlot>): Promise<void> {
+    const answer = await advicePool.ask(request.slot, {
       step: stepName(request.step),
       workers: request.workers.map(({ entry }) => entry.id),
-      expectedMs: decisionMs + perWorkerMs * request.workers.length,
     });
     takeAnswer(request, answer);
     schedule();
@@ -78,6 +74,7 @@
       configuration: wishes.configuration,
       evacuated: wishes.evacuated,
       orderDelayMs: orderMarginMs + 2 * journal.latencyMs(),
+      takeAdviceSlot: advicePool.take,
     });
     adviceRequests.forEach((request) => {
       askForTickets(request).catch(logFailure(log, 'a call for tickets'));
--- a/src/cell/advice_pool.ts
+++ b/src/cell/advice_pool.ts
@@ -1,8 +1,9 @@
 /**
  * Spreads calls for tickets over the entry processes.
  *
- * The advice service answers one call at a time for each calling host, so calls that take long are
- * kept to a part of the hosts, and each call goes to the host that is free first.
+ * The advice service answers one call at a time for each calling host, so a call that waits behind
+ * others may as well not have been made: it is made when a host is free for it, and until then the
+ * most urgent step may change. Long calls leave a part of the hosts to the short ones.
  */
 import type { Clock } from '../clock/mod.ts';
 import type { Outcome } from '../errors/mod.ts';
@@ -19,25 +20,43 @@
   question: { step: string; workers: string[]; timeoutMs: number },
 ) => Outcome<Tickets>;
 
+/** A place on a host for one call. */
+export interface AdviceSlot {
+  host: string;
+  expectedMs: number;
+}
+
 /** Calls for tickets. */
 export interface AdvicePool {
-  ask(question: {
-    step: string;
-    workers: string[];
-    expectedMs: number;
-  }): Promise<Tickets | undefined>;
+  /** Takes a free place for a call that takes about so long; undefined when there is none. */
+  take(expectedMs: number): AdviceSlot | undefined;
+  /** Makes the call and gives the place back. */
+  ask(
+    slot: AdviceSlot,
+    question: { step: string; workers: string[] },
+  ): Promise<Tickets | undefined>;
+}
+
+interface HostLoad {
+  short: number;
+  long: number;
+  avoidUntilMs: number;
 }
 
+/** Calls that take longer are long. */
 const longCallMs = 250;
-const marginMs = 500;
-const timeoutFactor = 1.5;
-const avoidFailedMs = 1_500;
+/** Short calls on a host at a time: one at the service and one on its way there. */
+const maxShortCalls = 2;
+const timeoutFactor = 2;
+const marginMs = 600;
+const avoidFailedMs = 1_000;
 
 /**
  * Makes the pool; `hosts` names the entry processes of the moment.
  *
  * @example
- * const tickets = await pool.ask({ step, workers, expectedMs: 40 });
+ * const slot = pool.take(40);
+ * const tickets = slot && (await pool.ask(slot, { step, workers }));
  */
 export function makeAdvicePool(options: {
   clock: Clock;
@@ -45,43 +64,57 @@
   askFrom: AskFrom;
 }): AdvicePool {
   const { clock, hosts, askFrom } = options;
-  const freeAtMs = new Map<string, number>();
-  const avoidUntilMs = new Map<string, number>();
+  const loads = new Map<string, HostLoad>();
 
-  function hostsFor(expectedMs: number): string[] {
-    const nowMs = clock.now();
-    const all = hosts().sort();
-    const sound = all.filter((host) => (avoidUntilMs.get(host) ?? 0) <= nowMs);
-    const usable = sound.length > 0 ? sound : all;
-    if (expectedMs < longCallMs || usable.length < 2) return usable;
-    // The last quarter of the hosts answers short calls only.
-    return usable.slice(0, Math.ceil((usable.length * 3) / 4));
+  function loadOf(host: string): HostLoad {
+    let load = loads.get(host);
+    if (!load) {
+      load = { short: 0, long: 0, avoidUntilMs: 0 };
+      loads.set(host, load);
+    }
+    return load;
   }
 
-  function pickHost(expectedMs: number): string | undefined {
+  function soundHosts(): string[] {
     const nowMs = clock.now();
-    const waitOf = (host: string) => Math.max(nowMs, freeAtMs.get(host) ?? 0);
-    const candidates = hostsFor(expectedMs);
-    // Short calls take the hosts from the end, which long calls leave alone.
-    if (expectedMs < longCallMs) candidates.reverse();
-    return candidates.reduce<string | undefined>(
-      (best, host) => (best === undefined || waitOf(host) < waitOf(best) ? host : best),
-      undefined,
+    const all = hosts();
+    const sound = all.filter((host) => loadOf(host).avoidUntilMs <= nowMs);
+    return sound.length > 0 ? sound : all;
+  }
+
+  function takeLong(candidates: string[]): string | undefined {
+    const inUse = candidates.filter((host) => loadOf(host).long > 0).length;
+    const most = Math.max(1, candidates.length - Math.ceil(candidates.length / 4));
+    if (inUse >= most) return undefined;
+    const free = candidates.filter((host) => loadOf(host).long === 0);
+    return free.sort((a, b) => loadOf(a).short - loadOf(b).short)[0];
+  }
+
+  function takeShort(candidates: string[]): string | undefined {
+    const free = candidates.filter(
+      (host) => loadOf(host).long === 0 && loadOf(host).short < maxShortCalls,
     );
+    return free.sort((a, b) => loadOf(a).short - loadOf(b).short)[0];
   }
 
   return {
-    async ask({ step, workers, expectedMs }) {
-      const host = pickHost(expectedMs);
+    take(expectedMs) {
+      const isLong = expectedMs >= longCallMs;
+      const candidates = soundHosts();
+      const host = isLong ? takeLong(candidates) : takeShort(candidates);
       if (host === undefined) return undefined;
-      const nowMs = clock.now();
-      const startMs = Math.max(nowMs, freeAtMs.get(host) ?? 0);
-      freeAtMs.set(host, startMs + expectedMs);
-      const timeoutMs = (startMs - nowMs + expectedMs) * timeoutFactor + marginMs;
-      const result = await askFrom(host, { step, workers, timeoutMs });
+      loadOf(host)[isLong ? 'long' : 'short'] += 1;
+      return { host, expectedMs };
+    },
+
+    async ask({ host, expectedMs }, question) {
+      const timeoutMs = expectedMs * timeoutFactor + marginMs;
+      const result = await askFrom(host, { ...question, timeoutMs });
+      const load = loadOf(host);
+      load[expectedMs >= longCallMs ? 'long' : 'short'] -= 1;
       return result.caseOf<Tickets | undefined>({
         Left: () => {
-          avoidUntilMs.set(host, clock.now() + avoidFailedMs);
+          load.avoidUntilMs = clock.now() + avoidFailedMs;
           return undefined;
         },
         Right: (tickets) => tickets,
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -55,6 +55,7 @@
 
 const heartbeatMs = 400;
 const tickMs = 100;
+const reportMs = 1_000;
 const readRetryMs = 100;
 const avoidUnhealthyMs = 1_500;
 const leaseSlowness = 1.025;
@@ -181,8 +182,34 @@
     });
   }
 
+  let reportAtMs = startedAtMs;
+
+  /** Logs what the scheduler has to do, and how late it is with it. */
+  function reportLoad(latenessMs: number): void {
+    const nowMs = clock.now();
+    if (nowMs < reportAtMs) return;
+    reportAtMs = nowMs + reportMs;
+    const usable = [...state.workers.values()].filter(({ isAnswering }) => isAnswering);
+    const sum = (amounts: number[]) => amounts.reduce((total, amount) => total + amount, 0);
+    log.info('load of the scheduler', {
+      event: 'scheduler-load',
+      jobs: state.active.size,
+      queued: sum([...countPending(state).values()]),
+      workers: usable.length,
+      runs: sum(usable.map(({ runs }) => runs.size)),
+      cpu: sum(usable.map(({ entry }) => entry.capacity.cpu)),
+      cpuUsed: sum(usable.map(({ used }) => used.cpu)),
+      cpuHeld: sum(usable.map(({ held }) => held.cpu)),
+      latenessMs: Math.round(latenessMs),
+      storeMs: Math.round(term.journal.latencyMs()),
+    });
+  }
+
   async function tick(): Promise<void> {
+    let dueMs = clock.now();
     while (!over.signal.aborted) {
+      reportLoad(clock.now() - dueMs);
+      dueMs = clock.now() + tickMs;
       fleet.check();
       retention.check();
       term.schedulePass();
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -40,6 +40,8 @@
 }
 
 const renewWaitMs = 1_000;
+/** A renewal waits this long for the ends before it to be stored. */
+const storeWaitMs = 400;
 const retryMs = 150;
 /** A worker's clock may run slower than ours by this factor. */
 const clockSlowness = 1.025;
@@ -69,12 +71,14 @@
 
   async function take(report: WorkerReport, sentAtMs: number): Promise<void> {
     if (bornMs !== undefined && report.bornMs !== bornMs) lastSeen = 0;
-    const isNewIncarnation = report.bornMs !== bornMs;
     bornMs = report.bornMs;
     reading = { workerMs: report.clockMs, atMs: clock.now() };
-    const isStored = await onReport(report, sentAtMs);
     const newest = Math.max(0, ...report.ended.map(({ sequence }) => sequence));
-    if (isStored) lastSeen = isNewIncarnation ? newest : Math.max(lastSeen, newest);
+    const storing = onReport(report, sentAtMs).then((isStored) => {
+      if (isStored && report.bornMs === bornMs) lastSeen = Math.max(lastSeen, newest);
+    });
+    // Leases are renewed also while the store does not answer.
+    await Promise.race([storing, clock.sleep(storeWaitMs)]);
   }
 
   async function renew(): Promise<void> {
--- a/src/host/membership.ts
+++ b/src/host/membership.ts
@@ -67,9 +67,10 @@
       await Promise.all([follower.run(signal), renew(signal)]);
     },
     members() {
-      const nowMs = clock.now();
+      // While the store does not answer, silence says nothing about the others.
+      const viewAtMs = follower.currentAtMs() ?? clock.now();
       const others = [...seen.values()]
-        .filter(({ member, atMs }) => member.name !== self.name && nowMs - atMs < goneAfterMs)
+        .filter(({ member, atMs }) => member.name !== self.name && viewAtMs - atMs < goneAfterMs)
         .map(({ member }) => member);
       return [self, ...others];
     },
--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -2,13 +2,13 @@
  * The decision what to start next: a pass over all steps whose turn has come, in order, which places
  * their tasks on workers and says for which steps tickets are to be asked.
  *
- * Load answered: more work than room. Steps that come first take room first; a gang that waits for
- * tickets holds its room, so that later work does not take it.
+ * Load answered: more work than room. Steps that come first take room first; a step that waits for
+ * tickets holds its room, so that later work does not take it. Calls for tickets are made only for
+ * what has room and only as many as the service takes, so that they never queue.
  */
-import { isFinal, JobState } from '../model/mod.ts';
 import type { Configuration, Organisation, Queue } from '../model/mod.ts';
 import { occurrenceCount, orderRun, stepsOf } from './jobs.ts';
-import { compareRanks, rankOf } from './order.ts';
+import { compareRanks, rankOf, Urgency } from './order.ts';
 import {
   chooseForGang,
   chooseWorkers,
@@ -18,35 +18,29 @@
   placesWithinLimit,
 } from './placement.ts';
 import { dropPlan, holdPlan } from './rooms.ts';
+import { fairShares, leftOfShare } from './shares.ts';
+import { adviceKey, hasTicket, workersNotAsked } from './tickets.ts';
+import type { AdviceRequest } from './tickets.ts';
 import type { CellState, Job, QueueTerms, Run, Step, Worker } from './state.ts';
 
-/** A call for tickets. */
-export interface AdviceRequest {
-  step: Step;
-  workers: Worker[];
-  terms: QueueTerms;
-}
-
 /** What is to be done. */
-export interface Decisions {
+export interface Decisions<Slot = unknown> {
   starts: Run[];
-  adviceRequests: AdviceRequest[];
+  adviceRequests: AdviceRequest<Slot>[];
 }
 
 /** What a pass goes by, apart from the state. */
-export interface DecisionInputs {
+export interface DecisionInputs<Slot = unknown> {
   nowMs: number;
   wallMs: number;
   configuration: Configuration;
   evacuated: ReadonlySet<string>;
   /** Time that passes between a decision and the arrival of its order at the worker. */
   orderDelayMs: number;
+  /** Takes a place for a call for tickets that takes about so long; undefined when there is none. */
+  takeAdviceSlot(expectedMs: number): Slot | undefined;
 }
 
-const maxWorkersPerAdvice = 100;
-const planHoldMs = 4_000;
-const repeatAdviceMs = 400;
-
 interface Lookup {
   queues: Map<string, Queue>;
   organisations: Map<string, Organisation>;
@@ -84,15 +78,6 @@
   return waiting;
 }
 
-function adviceKey(worker: Worker): string {
-  return `${worker.entry.id}@${worker.bornMs}`;
-}
-
-function hasTicket(step: Step, worker: Worker, untilMs: number): boolean {
-  const ticket = step.advice.tickets.get(worker.entry.id);
-  return ticket !== undefined && ticket.bornMs === worker.bornMs && ticket.validUntilMs > untilMs;
-}
-
 /** The chosen workers, whether for a gang or for single tasks. */
 function choose(step: Step, workers: Worker[], wanted: number): Map<Worker, number> | undefined {
   if (step.spec.gang) return chooseForGang(step, workers);
@@ -121,30 +106,25 @@
   return starts;
 }
 
-function byRoom(a: Worker, b: Worker): number {
-  return b.free.cpu - a.free.cpu;
-}
-
-/** Asks about workers that were not asked about yet, those with most room first. */
-function askAboutNew(step: Step, candidates: Worker[]): Worker[] {
-  return candidates
-    .filter((worker) => !step.advice.asked.has(adviceKey(worker)))
-    .sort(byRoom)
-    .slice(0, maxWorkersPerAdvice);
-}
-
-interface Pass extends DecisionInputs {
+interface Pass<Slot = unknown> extends DecisionInputs<Slot> {
   state: CellState;
   lookup: Lookup;
   /** Workers that take new work now. */
   usable: Worker[];
-  decisions: Decisions;
+  /** Processor that is each organisation's share of them. */
+  shares: ReadonlyMap<string, number>;
+  decisions: Decisions<Slot>;
 }
 
-function ask(pass: Pass, step: Step, workers: Worker[], terms: QueueTerms): void {
+/** Asks for tickets if there is a place for the call; tells whether it did. */
+function ask(pass: Pass, step: Step, workers: Worker[], terms: QueueTerms): boolean {
+  const { decisionMs, perWorkerMs } = terms.advice!;
+  const slot = pass.takeAdviceSlot(decisionMs + perWorkerMs * workers.length);
+  if (slot === undefined) return false;
   workers.forEach((worker) => step.advice.asked.add(adviceKey(worker)));
   step.advice.isPending = true;
-  pass.decisions.adviceRequests.push({ step, workers, terms });
+  pass.decisions.adviceRequests.push({ step, workers, terms, slot });
+  return true;
 }
 
 function planWithoutTickets(
@@ -157,8 +137,7 @@
   const counts = choose(step, allowed, wanted);
   if (!counts) return;
   const workers = new Map([...counts].map(([worker, count]) => [worker.entry.id, count]));
-  holdPlan(pass.state, step, { workers, untilMs: pass.nowMs + planHoldMs });
-  ask(pass, step, [...counts.keys()], terms);
+  if (ask(pass, step, [...counts.keys()], terms)) holdPlan(pass.state, step, { workers });
 }
 
 function placeWithAdvice(
@@ -183,7 +162,7 @@
   }
   if (pass.nowMs < advice.notBeforeMs) return;
   const left = wanted - (counts ? [...counts.values()].reduce((sum, n) => sum + n, 0) : 0);
-  const unknown = askAboutNew(step, usable);
+  const unknown = workersNotAsked(step, usable);
   if (unknown.length > 0) {
     ask(pass, step, unknown, terms);
     return;
@@ -197,7 +176,13 @@
   planWithoutTickets(pass, step, candidates, left, terms);
 }
 
-function placeStep(pass: Pass, step: Step): void {
+/** How many tasks of a step fit into what is left of its organisation's share. */
+function placesWithinShare({ state, shares }: Pass, step: Step): number {
+  const left = leftOfShare(state, shares, step.job.accepted.organisation);
+  return step.spec.need.cpu > 0 ? Math.floor(Math.max(0, left) / step.spec.need.cpu) : Infinity;
+}
+
+function placeStep(pass: Pass, step: Step, isWithinShare: boolean): void {
   const { state, nowMs, lookup } = pass;
   const { accepted } = step.job;
   const waiting = waitingTasks(step, nowMs);
@@ -212,7 +197,8 @@
     state.usage.get(accepted.organisation),
     lookup.organisations.get(accepted.organisation)?.upperLimit,
   );
-  const wanted = Math.min(waiting.length, withinLimit);
+  const withinShare = isWithinShare ? placesWithinShare(pass, step) : Infinity;
+  const wanted = Math.min(waiting.length, withinLimit, withinShare);
   if (wanted === 0 || (step.spec.gang && wanted < step.spec.count)) return;
   const usable = pass.usable.filter((worker) => isEligible(worker, step, service));
   if (!step.plan && !hasRoom(step, usable)) return;
@@ -230,54 +216,32 @@
  * @example
  * const { starts, adviceRequests } = decide(state, inputs);
  */
-export function decide(state: CellState, inputs: DecisionInputs): Decisions {
+export function decide<Slot>(state: CellState, inputs: DecisionInputs<Slot>): Decisions<Slot> {
   const { configuration, nowMs, evacuated } = inputs;
   const lookup = {
     queues: new Map(configuration.queues.map((queue) => [queue.name, queue])),
     organisations: new Map(configuration.organisations.map((each) => [each.name, each])),
   };
-  const decisions: Decisions = { starts: [], adviceRequests: [] };
-  const pass: Pass = {
+  const usable = [...state.workers.values()].filter((worker) =>
+    isUsable(worker, { nowMs, evacuated }),
+  );
+  const decisions: Decisions<Slot> = { starts: [], adviceRequests: [] };
+  const pass: Pass<Slot> = {
     ...inputs,
     state,
     lookup,
-    usable: [...state.workers.values()].filter((worker) => isUsable(worker, { nowMs, evacuated })),
+    usable,
+    shares: fairShares(state, configuration, usable),
     decisions,
   };
   const ranked = [...state.active]
-    .filter((job) => !isFinal(job.state) || job.state === JobState.Running)
     .flatMap((job) => readySteps(job, inputs.wallMs))
     .map((step) => ({ step, rank: rankOf(step, termsOf(step.job, lookup.queues), nowMs) }))
     .sort((a, b) => compareRanks(a.rank, b.rank));
-  ranked.forEach(({ step }) => placeStep(pass, step));
-  return decisions;
-}
-
-/**
- * Takes the answer to a call for tickets; without an answer the step is asked for again later.
- *
- * @example
- * takeAdvice(request, [['i-1', 'c81e']], { validUntilMs: now + 1_500, nowMs: now });
- */
-export function takeAdvice(
-  { step, workers }: AdviceRequest,
-  tickets: [worker: string, ticket: string][] | undefined,
-  { validUntilMs, nowMs }: { validUntilMs: number; nowMs: number },
-): void {
-  const { advice } = step;
-  advice.isPending = false;
-  if (!tickets) {
-    workers.forEach((worker) => {
-      if (!advice.allowed.has(adviceKey(worker))) advice.asked.delete(adviceKey(worker));
-    });
-    advice.notBeforeMs = nowMs + repeatAdviceMs;
-    return;
-  }
-  const byId = new Map(workers.map((worker) => [worker.entry.id, worker]));
-  tickets.forEach(([id, value]) => {
-    const worker = byId.get(id);
-    if (!worker) return;
-    advice.allowed.add(adviceKey(worker));
-    advice.tickets.set(id, { value, bornMs: worker.bornMs, validUntilMs });
+  Object.values(Urgency).forEach((urgency) => {
+    const steps = ranked.filter(({ rank }) => rank.urgency === urgency);
+    steps.forEach(({ step }) => placeStep(pass, step, true));
+    steps.forEach(({ step }) => placeStep(pass, step, false));
   });
+  return decisions;
 }
--- a/src/scheduler/decide_test.ts
+++ b/src/scheduler/decide_test.ts
@@ -12,9 +12,10 @@
   stepSpec,
   submit,
 } from '../testing/fake_cell.ts';
-import { decide, takeAdvice } from './decide.ts';
+import { decide } from './decide.ts';
 import { cancelJob, endRun } from './jobs.ts';
 import type { CellState, Run } from './state.ts';
+import { takeAdvice } from './tickets.ts';
 
 const test = suite('decide');
 
@@ -29,6 +30,7 @@
     configuration: options.config ?? configuration(),
     evacuated: new Set(options.evacuated ?? []),
     orderDelayMs: 0,
+    takeAdviceSlot: () => 'slot',
   });
 }
 
@@ -200,6 +202,31 @@
   assert.is(pass(state, 1_000, { config }).adviceRequests.length, 1);
 });
 
+test('calls for tickets go to the most urgent steps, and only as many as the service takes', () => {
+  const advice = { decisionMs: 10, perWorkerMs: 1, validityMs: 1_000 };
+  const urgent = queue({ name: 'urgent', priority: 0, advice });
+  const heavy = queue({ name: 'heavy', priority: 1, advice });
+  const state = cellWith(2);
+  submit(state, acceptedJob('h', [stepSpec()], { inQueue: heavy }));
+  submit(state, acceptedJob('u', [stepSpec()], { inQueue: urgent }));
+  let slots = 1;
+  const { adviceRequests } = decide(state, {
+    nowMs: 0,
+    wallMs: 0,
+    configuration: configuration([urgent, heavy]),
+    evacuated: new Set(),
+    orderDelayMs: 0,
+    takeAdviceSlot() {
+      slots -= 1;
+      return slots >= 0 ? slots : undefined;
+    },
+  });
+  assert.equal(
+    adviceRequests.map(({ step }) => step.job.accepted.id),
+    ['u'],
+  );
+});
+
 test('urgent work goes first, and work that can no longer be in time goes last', () => {
   const urgent = queue({ name: 'urgent', priority: 0 });
   const config = configuration([urgent, queue()]);
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -5,7 +5,6 @@
 import type { AcceptedJob, EndedRun } from '../model/mod.ts';
 import { longestChainMs } from './order.ts';
 import { releaseRun, reserveRun } from './rooms.ts';
-import { takeShare } from './shares.ts';
 import { RunPhase } from './state.ts';
 import type { CellState, Job, Run, Step, Task, Worker } from './state.ts';
 
@@ -53,23 +52,14 @@
  * Adds a job; a job that is known already stays as it is.
  *
  * @example
- * addJob(state, accepted, { acceptedAtMs: clock.now(), weight: 19 });
+ * addJob(state, accepted, clock.now());
  */
-export function addJob(
-  state: CellState,
-  accepted: AcceptedJob,
-  { acceptedAtMs, weight }: { acceptedAtMs: number; weight: number },
-): Job {
+export function addJob(state: CellState, accepted: AcceptedJob, acceptedAtMs: number): Job {
   const known = state.jobs.get(accepted.id);
   if (known) return known;
   const job: Job = {
     accepted,
     acceptedAtMs,
-    isBeyondShare: !takeShare(
-      state.shares,
-      { organisation: accepted.organisation, weight },
-      acceptedAtMs,
-    ),
     state: JobState.Queued,
     chainMs: longestChainMs(accepted.spec.steps),
     occurrences: new Map(),
--- a/src/scheduler/mod.ts
+++ b/src/scheduler/mod.ts
@@ -6,6 +6,7 @@
 export * from './decide.ts';
 export * from './pressure.ts';
 export * from './records.ts';
+export * from './tickets.ts';
 export * from './workers.ts';
 export { objectiveMs } from './order.ts';
 export { needOf, refreshFree } from './rooms.ts';
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -32,10 +32,8 @@
   InTime: 0,
   /** It can be done late, while it still is worth something. */
   Late: 1,
-  /** Its organisation has handed in more than its share. */
-  BeyondShare: 2,
   /** It can no longer be done while it is worth something. */
-  TooLate: 3,
+  TooLate: 2,
 } as const;
 
 /** One of the values of {@link Urgency}. */
@@ -53,7 +51,6 @@
   const waitedMs = nowMs - job.acceptedAtMs;
   const neededMs = step.spec.estimatedMs;
   if (waitedMs + neededMs > lateFactor * objective) return Urgency.TooLate;
-  if (job.isBeyondShare) return Urgency.BeyondShare;
   // A job that has begun is worth finishing before others begin.
   const hasBegun = job.state !== 'queued';
   return waitedMs + neededMs > objective && !hasBegun ? Urgency.Late : Urgency.InTime;
--- a/src/scheduler/pressure.ts
+++ b/src/scheduler/pressure.ts
@@ -2,20 +2,19 @@
  * Which further jobs cannot be served soon, so that they are refused at once.
  *
  * Load answered: more work than room for seconds. Where jobs of a queue wait for a notable part of
- * their objective, organisations beyond their share are refused; where even jobs within their share
- * have waited until they can only be late, the queue refuses all.
+ * their objective, organisations that use more than their share of the fleet are refused.
  */
 import type { Configuration } from '../model/mod.ts';
 import { termsOf } from './decide.ts';
 import { objectiveMs } from './order.ts';
-import { isBeyondShare } from './shares.ts';
+import { fairShares, leftOfShare } from './shares.ts';
 import type { CellState } from './state.ts';
 
 /** What the entry processes refuse for now. */
 export interface Pressure {
   /** Queues that have no room for what is beyond a share. */
   busyQueues: string[];
-  /** Organisations beyond their share. */
+  /** Organisations that use more than their share. */
   beyondShare: string[];
 }
 
@@ -43,12 +42,11 @@
     const limitMs = Math.max(busyWaitMs, busyPart * objectiveMs(job, termsOf(job, queues)));
     if (nowMs - job.acceptedAtMs > limitMs) busy.add(queue);
   });
+  const shares = fairShares(state, configuration, state.workers.values());
   return {
     busyQueues: [...busy],
     beyondShare: configuration.organisations
-      .filter(({ name, weight }) =>
-        isBeyondShare(state.shares, { organisation: name, weight }, nowMs),
-      )
-      .map(({ name }) => name),
+      .map(({ name }) => name)
+      .filter((name) => shares.has(name) && leftOfShare(state, shares, name) <= 0),
   };
 }
--- a/src/scheduler/shares.ts
+++ b/src/scheduler/shares.ts
@@ -1,50 +1,39 @@
 /**
- * Shares of organisations: each may hand in as many jobs a second as its weight says; what it sends
- * beyond that waits behind the work of all others.
+ * Shares of organisations when there is more work than room: each may use the part of the fleet that
+ * its weight makes of the weights of all that have work. Work of an organisation that uses less than
+ * its share goes before equally urgent work of one that uses more.
  *
  * Load answered: one organisation sends many times its usual while the others send theirs.
  */
-
-/** What an organisation may still hand in within its share. */
-export interface ShareAccount {
-  jobs: number;
-  atMs: number;
-}
-
-/** Time over which an organisation may save up its share. */
-const savingS = 1;
-const msPerS = 1_000;
+import type { Configuration } from '../model/mod.ts';
+import type { CellState, Worker } from './state.ts';
 
 /**
- * Takes one job from an organisation's share; false when the job is beyond it.
+ * Processor, in thousandths of a core, that is each organisation's share of the workers.
  *
  * @example
- * takeShare(accounts, { organisation: 'ledger', weight: 19 }, clock.now());
+ * fairShares(state, configuration, workers).get('ledger');
  */
-export function takeShare(
-  accounts: Map<string, ShareAccount>,
-  { organisation, weight }: { organisation: string; weight: number },
-  nowMs: number,
-): boolean {
-  const most = Math.max(1, weight * savingS);
-  const account = accounts.get(organisation) ?? { jobs: most, atMs: nowMs };
-  const saved = account.jobs + (Math.max(0, nowMs - account.atMs) / msPerS) * weight;
-  const jobs = Math.min(most, saved);
-  const isWithin = jobs >= 1;
-  accounts.set(organisation, {
-    jobs: isWithin ? jobs - 1 : jobs,
-    atMs: Math.max(nowMs, account.atMs),
-  });
-  return isWithin;
+export function fairShares(
+  state: CellState,
+  { organisations }: Configuration,
+  workers: Iterable<Worker>,
+): Map<string, number> {
+  const withWork = new Set([...state.active].map(({ accepted }) => accepted.organisation));
+  const sharing = organisations.filter(({ name }) => withWork.has(name));
+  const weights = sharing.reduce((sum, { weight }) => sum + weight, 0);
+  let capacity = 0;
+  for (const { entry } of workers) capacity += entry.capacity.cpu;
+  return new Map(
+    sharing.map(({ name, weight }) => [name, weights > 0 ? (capacity * weight) / weights : 0]),
+  );
 }
 
-/** Whether the next job of an organisation would be beyond its share. */
-export function isBeyondShare(
-  accounts: Map<string, ShareAccount>,
-  { organisation, weight }: { organisation: string; weight: number },
-  nowMs: number,
-): boolean {
-  const account = accounts.get(organisation);
-  if (!account) return false;
-  return account.jobs + (Math.max(0, nowMs - account.atMs) / msPerS) * weight < 1;
+/** Processor that an organisation may still take within its share. */
+export function leftOfShare(
+  state: CellState,
+  shares: ReadonlyMap<string, number>,
+  organisation: string,
+): number {
+  return (shares.get(organisation) ?? 0) - (state.usage.get(organisation)?.cpu ?? 0);
 }
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -3,7 +3,6 @@
  */
 import { noResources } from '../model/mod.ts';
 import type { AcceptedJob, JobState, Resources, StepSpec, WorkerEntry } from '../model/mod.ts';
-import type { ShareAccount } from './shares.ts';
 
 /** How far a run has come. */
 export const RunPhase = {
@@ -72,7 +71,6 @@
 /** Room held for tasks of a step while tickets for it are asked for. */
 export interface Plan {
   workers: Map<string, number>;
-  untilMs: number;
 }
 
 /** A step of one occurrence of a job. */
@@ -96,8 +94,6 @@
   accepted: AcceptedJob;
   /** Monotonic time of acceptance. */
   acceptedAtMs: number;
-  /** Handed in beyond the share of its organisation. */
-  isBeyondShare: boolean;
   state: JobState;
   /** Duration of the longest chain of steps. */
   chainMs: number;
@@ -137,8 +133,6 @@
   workers: Map<string, Worker>;
   /** What each organisation has running. */
   usage: Map<string, Resources>;
-  /** What each organisation may still hand in within its share. */
-  shares: Map<string, ShareAccount>;
 }
 
 /**
@@ -153,7 +147,6 @@
     active: new Set(),
     workers: new Map(),
     usage: new Map(),
-    shares: new Map(),
   };
 }
 
--- a/src/testing/fake_cell.ts
+++ b/src/testing/fake_cell.ts
@@ -134,11 +134,6 @@
 }
 
 /** Adds a job at a time. */
-export function submit(
-  state: CellState,
-  accepted: AcceptedJob,
-  acceptedAtMs = 0,
-  weight = 1_000,
-): Job {
-  return addJob(state, accepted, { acceptedAtMs, weight });
+export function submit(state: CellState, accepted: AcceptedJob, acceptedAtMs = 0): Job {
+  return addJob(state, accepted, acceptedAtMs);
 }
