Wait in a flush for rows that are marked again before they are written

So an end was confirmed to its worker before it was durable; a scheduler that took over in between started the task again. Ruled out: paged reads at the takeover, late writes of the predecessor. The test fails before and passes after.

--- a/src/cell/journal.ts
+++ b/src/cell/journal.ts
@@ -181,7 +181,10 @@
     mark(row, source) {
       if (isClosed) return;
       generation += 1;
-      dirty.set(nameOf(row), { row, source, generation });
+      const name = nameOf(row);
+      // A row that waits keeps its place: others wait for what was marked first.
+      const waiting = dirty.get(name);
+      dirty.set(name, { row, source, generation: waiting?.generation ?? generation });
       run().catch((error: unknown) => log.error('the journal failed', { reason: String(error) }));
     },
     flush() {
--- a/src/cell/journal_test.ts
+++ b/src/cell/journal_test.ts
@@ -49,6 +49,27 @@
   assert.is(versions[0], versions[1]);
 });
 
+test('a flush waits for its rows, also when one is marked again before it is written', async () => {
+  const inner = makeFakeStore();
+  const store: FakeStore = {
+    ...inner,
+    async transact(change) {
+      await systemClock.sleep(1);
+      return inner.transact(change);
+    },
+  };
+  const { journal } = await open(store);
+  journal.mark(progressRow('j1'), () => 'one');
+  const first = journal.flush();
+  // The transaction with j1 is under way from here on.
+  await Promise.resolve();
+  journal.mark(progressRow('j2'), () => 'two');
+  const second = journal.flush().then(() => store.value('progress', 'j2'));
+  journal.mark(progressRow('j2'), () => 'two');
+  await first;
+  assert.is(await second, 'two');
+});
+
 test('a deposed scheduler stores nothing more, and its waiters hear so', async () => {
   const store = makeFakeStore();
   const { journal, state } = await open(store, 'a');
