--- a/src/cell/advice_pool.ts
+++ b/src/cell/advice_pool.ts
@@ -38,15 +38,17 @@
 }
 
 interface HostLoad {
-  short: number;
+  /** Time that the short calls under way take at the service. */
+  shortMs: number;
+  /** Long calls under way. */
   long: number;
   avoidUntilMs: number;
 }
 
 /** Calls that take longer are long. */
 const longCallMs = 250;
-/** Short calls on a host at a time: one at the service and one on its way there. */
-const maxShortCalls = 2;
+/** A host gets further short calls while those under way take less time than this. */
+const shortQueueMs = 60;
 const timeoutFactor = 2;
 const marginMs = 600;
 const avoidFailedMs = 1_000;
@@ -69,7 +71,7 @@
   function loadOf(host: string): HostLoad {
     let load = loads.get(host);
     if (!load) {
-      load = { short: 0, long: 0, avoidUntilMs: 0 };
+      load = { shortMs: 0, long: 0, avoidUntilMs: 0 };
       loads.set(host, load);
     }
     return load;
@@ -87,14 +89,14 @@
     const most = Math.max(1, candidates.length - Math.ceil(candidates.length / 4));
     if (inUse >= most) return undefined;
     const free = candidates.filter((host) => loadOf(host).long === 0);
-    return free.sort((a, b) => loadOf(a).short - loadOf(b).short)[0];
+    return free.sort((a, b) => loadOf(a).shortMs - loadOf(b).shortMs)[0];
   }
 
   function takeShort(candidates: string[]): string | undefined {
     const free = candidates.filter(
-      (host) => loadOf(host).long === 0 && loadOf(host).short < maxShortCalls,
+      (host) => loadOf(host).long === 0 && loadOf(host).shortMs < shortQueueMs,
     );
-    return free.sort((a, b) => loadOf(a).short - loadOf(b).short)[0];
+    return free.sort((a, b) => loadOf(a).shortMs - loadOf(b).shortMs)[0];
   }
 
   return {
@@ -103,7 +105,8 @@
       const candidates = soundHosts();
       const host = isLong ? takeLong(candidates) : takeShort(candidates);
       if (host === undefined) return undefined;
-      loadOf(host)[isLong ? 'long' : 'short'] += 1;
+      if (isLong) loadOf(host).long += 1;
+      else loadOf(host).shortMs += expectedMs;
       return { host, expectedMs };
     },
 
@@ -111,7 +114,8 @@
       const timeoutMs = expectedMs * timeoutFactor + marginMs;
       const result = await askFrom(host, { ...question, timeoutMs });
       const load = loadOf(host);
-      load[expectedMs >= longCallMs ? 'long' : 'short'] -= 1;
+      if (expectedMs >= longCallMs) load.long -= 1;
+      else load.shortMs -= expectedMs;
       return result.caseOf<Tickets | undefined>({
         Left: () => {
           load.avoidUntilMs = clock.now() + avoidFailedMs;
--- a/src/scheduler/pressure.ts
+++ b/src/scheduler/pressure.ts
@@ -23,6 +23,20 @@
 /** ... and at least this long. */
 const busyWaitMs = 300;
 
+/** Nothing is refused while less than this part of the fleet is in use. */
+const fullPart = 0.85;
+
+function isFleetFull(state: CellState): boolean {
+  let capacity = 0;
+  let used = 0;
+  state.workers.forEach((worker) => {
+    if (!worker.isAnswering) return;
+    capacity += worker.entry.capacity.cpu;
+    used += worker.used.cpu + worker.held.cpu;
+  });
+  return used >= capacity * fullPart;
+}
+
 /**
  * Computes what is to be refused at present.
  *
@@ -34,6 +48,7 @@
   configuration: Configuration,
   nowMs: number,
 ): Pressure {
+  if (!isFleetFull(state)) return { busyQueues: [], beyondShare: [] };
   const queues = new Map(configuration.queues.map((queue) => [queue.name, queue]));
   const busy = new Set<string>();
   state.active.forEach((job) => {
