--- /dev/null
+++ b/src/cell/advice_pool_test.ts
@@ -0,0 +1,70 @@
+import { Left, Right } from 'purify-ts';
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type { Clock } from '../clock/mod.ts';
+import { failure, Kind } from '../errors/mod.ts';
+import { makeAdvicePool } from './advice_pool.ts';
+
+const test = suite('advice pool');
+
+function setUp(hostCount: number) {
+  let nowMs = 0;
+  let isFailing = false;
+  const clock: Clock = { now: () => nowMs, wall: () => 0, sleep: () => Promise.resolve() };
+  const names = Array.from({ length: hostCount }, (_, index) => `h${index + 1}`);
+  const pool = makeAdvicePool({
+    clock,
+    hosts: () => names,
+    askFrom: async () =>
+      isFailing
+        ? Left(failure(Kind.PeerUnavailable, 'gone'))
+        : Right({ tickets: [], validityMs: 1 }),
+  });
+  return {
+    pool,
+    advance(ms: number) {
+      nowMs += ms;
+    },
+    fail() {
+      isFailing = true;
+    },
+  };
+}
+
+test('long calls leave hosts to the short ones, and one host makes one long call at a time', () => {
+  const { pool } = setUp(4);
+  const long = [1, 2, 3, 4, 5].map(() => pool.take(800)?.host);
+  assert.is(new Set(long.slice(0, 3)).size, 3);
+  assert.equal(long.slice(3), [undefined, undefined]);
+  const short = pool.take(8)!;
+  assert.not.ok(long.includes(short.host));
+});
+
+test('short calls do not queue for long at a host', () => {
+  const { pool } = setUp(1);
+  const taken = Array.from({ length: 30 }, () => pool.take(10)).filter(Boolean);
+  assert.is(taken.length, 6);
+});
+
+test('a place is given back when the call ends, also when it fails', async () => {
+  const { pool, fail, advance } = setUp(1);
+  const slot = pool.take(800)!;
+  assert.is(pool.take(800), undefined);
+  fail();
+  assert.is(await pool.ask(slot, { step: 's', workers: [] }), undefined);
+  advance(5_000);
+  assert.ok(pool.take(800));
+});
+
+test('a host whose call failed is left alone for a while, if there are others', async () => {
+  const { pool, fail, advance } = setUp(2);
+  const slot = pool.take(8)!;
+  fail();
+  await pool.ask(slot, { step: 's', workers: [] });
+  assert.is.not(pool.take(8)!.host, slot.host);
+  advance(2_000);
+  assert.is(pool.take(8)!.host, slot.host);
+});
+
+test.run();
--- /dev/null
+++ b/src/cell/leadership_test.ts
@@ -0,0 +1,102 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { makeRandom, systemClock } from '../clock/mod.ts';
+import type { Clock } from '../clock/mod.ts';
+import { silentLog } from '../logs/mod.ts';
+import { makeFakeStore } from '../testing/fake_store.ts';
+import type { FakeStore } from '../testing/fake_store.ts';
+import { makeLeadership } from './leadership.ts';
+import type { Leadership, WonClaim } from './leadership.ts';
+
+const test = suite('leadership');
+
+/** A clock that runs ten times as fast, so that no test waits for long. */
+const speed = 10;
+const fastClock: Clock = {
+  now: () => systemClock.now() * speed,
+  wall: () => systemClock.wall(),
+  sleep: (ms, signal) => systemClock.sleep(ms / speed, signal),
+};
+
+function followable(store: FakeStore): FakeStore {
+  return {
+    ...store,
+    async watch(table) {
+      await systemClock.sleep(2);
+      return store.read({ table, part: 'c0' });
+    },
+  };
+}
+
+function candidate(store: FakeStore, name: string, signal: AbortSignal, mayClaim = () => true) {
+  const won: WonClaim[] = [];
+  const leadership: Leadership = makeLeadership({
+    store: followable(store),
+    clock: fastClock,
+    random: makeRandom(name.length),
+    log: silentLog,
+    self: { name, instance: `${name}-1`, address: `${name}:1` },
+    claimDelayMs: 0,
+    mayClaim,
+    onWon: (claim) => won.push(claim),
+    onOther: () => undefined,
+  });
+  leadership.run(signal).catch(() => undefined);
+  return { leadership, won };
+}
+
+async function until(check: () => boolean): Promise<void> {
+  while (!check()) await systemClock.sleep(2);
+}
+
+async function withAbort(play: (signal: AbortSignal) => Promise<void>): Promise<void> {
+  const abort = new AbortController();
+  try {
+    await play(abort.signal);
+  } finally {
+    abort.abort();
+  }
+}
+
+test('of several candidates one wins, and each later claim has a higher epoch', () =>
+  withAbort(async (signal) => {
+    const store = makeFakeStore();
+    const all = ['a', 'b', 'c'].map((name) => candidate(store, name, signal));
+    const wins = () => all.flatMap(({ won }) => won);
+    await until(() => wins().length > 0);
+    assert.is(wins().length, 1);
+    // Nobody writes a heartbeat, so the scheduler counts as silent before long.
+    await until(() => wins().length >= 3);
+    const epochs = wins().map(({ epoch }) => epoch);
+    assert.is(new Set(epochs).size, epochs.length);
+    assert.ok(wins().some(({ predecessorMayAct }) => predecessorMayAct));
+  }));
+
+test('a claim that is given back is taken at once by another', () =>
+  withAbort(async (signal) => {
+    const store = makeFakeStore();
+    let mayClaim = true;
+    const first = candidate(store, 'a', signal, () => mayClaim);
+    await until(() => first.won.length > 0);
+    mayClaim = false;
+    const second = candidate(store, 'b', signal);
+    await first.leadership.resign(1_000);
+    await until(() => second.won.length > 0);
+    assert.is(second.won[0]!.epoch, 2);
+    assert.is(second.won[0]!.predecessorMayAct, false);
+  }));
+
+test('a scheduler whose host rejects connections is replaced before its heartbeat is missed', () =>
+  withAbort(async (signal) => {
+    const store = makeFakeStore();
+    const first = candidate(store, 'a', signal, () => first.won.length === 0);
+    await until(() => first.won.length > 0);
+    const second = candidate(store, 'b', signal);
+    await until(() => second.leadership.claim() !== undefined);
+    second.leadership.reportRejected('a-1');
+    await until(() => second.won.length > 0);
+    assert.is(second.won[0]!.predecessorMayAct, false);
+  }));
+
+test.run();
