Look for a job before refusing it for load

A job that is stored is now accepted again. Left: 503 while the store is down cannot look; a first try that got no answer may then be followed by a refusal although its job is stored.

--- a/src/cell/_retention.ts
+++ b/src/cell/_retention.ts
@@ -43,17 +43,13 @@
   return {
     check() {
       const nowMs = clock.now();
-      // Jobs end roughly in the order of their acceptance, which is that of the map.
-      let count = 0;
+      const isOld = ({ endedAtMs }: Job) => endedAtMs !== undefined && nowMs - endedAtMs > keepMs;
+      // The map is in the order of acceptance, so the oldest jobs come first.
+      let deletions = 0;
       for (const job of state.jobs.values()) {
-        if (count === maxDeletionsPerCheck) return;
-        const isOld = job.endedAtMs !== undefined && nowMs - job.endedAtMs > keepMs;
-        if (!isOld) {
-          if (job.endedAtMs !== undefined) return;
-          continue;
-        }
-        if (underWay.has(job.accepted.id)) continue;
-        count += 1;
+        if (deletions === maxDeletionsPerCheck) return;
+        if (!isOld(job) || underWay.has(job.accepted.id)) continue;
+        deletions += 1;
         forget(job).catch(logFailure(log, 'deleting a job'));
       }
     },
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -84,6 +84,25 @@
     };
   }
 
+  /** Refuses a job, unless an earlier call with its id was accepted without the client hearing so. */
+  async function refuseForLoad(call: RoutedCall): Promise<ClientAnswer> {
+    const known = await store.read({ ...jobRow(call.jobId) });
+    return known.caseOf<ClientAnswer | Promise<ClientAnswer>>({
+      Left: (problem) => passOn(call, problem),
+      Right: ({ rows }) => {
+        if (rows.length > 0) return success();
+        log.info('job refused', {
+          event: 'job-refused',
+          id: call.jobId,
+          queue: call.queue.name,
+          organisation: call.organisation,
+          reason: 'the organisation is beyond its share and the queue is busy',
+        });
+        return refusal(429, 'the organisation is beyond its share, and there is no room for more');
+      },
+    });
+  }
+
   async function accept(call: RoutedCall): Promise<ClientAnswer> {
     const decoded = options.decodeJob(call.body);
     if (decoded.isLeft()) {
@@ -93,16 +112,7 @@
     }
     const spec = decoded.extract() as JobSpec;
     const row = jobRow(call.jobId);
-    if (options.isOverloaded(call.queue.name, call.organisation)) {
-      log.info('job refused', {
-        event: 'job-refused',
-        id: call.jobId,
-        queue: call.queue.name,
-        organisation: call.organisation,
-        reason: 'the organisation is beyond its share and the queue is busy',
-      });
-      return refusal(429, 'more jobs than the share of the organisation, and no room for them now');
-    }
+    if (options.isOverloaded(call.queue.name, call.organisation)) return refuseForLoad(call);
     const stored = await store.transact({
       expected: [{ ...row, version: 0 }],
       writes: [{ ...row, value: JSON.stringify(acceptedJob(call, spec)) }],
--- a/src/front/front_test.ts
+++ b/src/front/front_test.ts
@@ -108,6 +108,14 @@
   assert.is(store.rows.size, 0);
 });
 
+test('a job that is stored already is accepted again also while its queue is busy', async () => {
+  let isBusy = false;
+  const { call } = setUp({ isOverloaded: () => isBusy });
+  await call('POST');
+  isBusy = true;
+  assert.is((await call('POST')).status, 200);
+});
+
 test('the longest prefix wins, and a public queue needs no key', async () => {
   const { call } = setUp();
   assert.is((await call('GET', '/batch/open/', { key: undefined })).status, 200);
