Say nothing of waiting jobs before they are loaded

Now the heartbeat leaves them out until then, and the entry processes answer 503 to questions for a count.

--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -33,7 +33,8 @@
 /** The heartbeat of the scheduler, as the others see it. */
 export interface Heartbeat {
   epoch: number;
-  pending: Record<string, number>;
+  /** Jobs that wait, by queue; undefined while the scheduler does not know. */
+  pending: Record<string, number> | undefined;
   /** What is to be refused; see `pressureOf`. */
   busyQueues: string[];
   beyondShare: string[];
@@ -109,7 +110,7 @@
       pending,
       busyQueues = [],
       beyondShare = [],
-    } = JSON.parse(row.value) as Partial<Heartbeat> & Pick<Heartbeat, 'epoch' | 'pending'>;
+    } = JSON.parse(row.value) as Partial<Heartbeat> & Pick<Heartbeat, 'epoch'>;
     heartbeat = { epoch, pending, busyQueues, beyondShare, seenAtMs: clock.now() };
     signAtMs = clock.now();
   }
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -157,6 +157,7 @@
     }
   }
 
+  let isLoaded = false;
   const readRegistry = () => store.read({ table: options.registryTable, part: '' });
 
   /** Reads what predecessors have left; nothing is decided before. */
@@ -173,6 +174,7 @@
     fleet.linkAll();
     takeJobRows(term, ends, jobs.rows);
     stopLeftOvers(term, ends);
+    isLoaded = true;
     log.info('the cell is loaded', {
       event: 'scheduler-loaded',
       epoch: claim.epoch,
@@ -220,7 +222,8 @@
   function heartbeatText(): string {
     const wishes = options.wishes();
     const pressure = wishes && pressureOf(state, wishes.configuration, clock.now());
-    const pending = Object.fromEntries(countPending(state));
+    // Before the jobs are loaded nothing is known of how many wait.
+    const pending = isLoaded ? Object.fromEntries(countPending(state)) : undefined;
     return JSON.stringify({ epoch: claim.epoch, pending, ...pressure });
   }
 
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -191,7 +191,7 @@
     pendingIn(queue) {
       const heartbeat = leadership.heartbeat();
       if (!heartbeat || clock.now() - heartbeat.seenAtMs > pendingAgeLimitMs) return undefined;
-      return heartbeat.pending[queue] ?? 0;
+      return heartbeat.pending && (heartbeat.pending[queue] ?? 0);
     },
     isOverloaded(queue, organisation) {
       const heartbeat = leadership.heartbeat();
