Make calls to the platform over the exchange that the project had

src/calls collected answers over undici's dispatch, with timeouts and the question whether anything was sent; src/exchange did the same already, bounds the answer and survives a closed pool. src/calls is now JSON over it.

So that this costs nothing on the scheduler's hot path, src/exchange loads undici's pool alone, and takes its timeout from a cancellable timer of the clock in place of a sleep that each answer aborts.

One difference: an error before the first byte is known to be unsent also where its code does not say so (a reset while connecting).

--- a/src/bin/host.ts
+++ b/src/bin/host.ts
@@ -38,9 +38,12 @@
   clock: systemClock,
   random: makeRandom(process.pid + Date.now()),
   logs: { host: logs(Part.Host), front: logs(Part.Front), cell: logs(Part.Cell) },
-  store: makeStore(settings.storeAddress),
-  workers: makeWorkers(),
-  adviser: settings.adviceAddress === undefined ? undefined : makeAdviser(settings.adviceAddress),
+  store: makeStore(settings.storeAddress, systemClock),
+  workers: makeWorkers(systemClock),
+  adviser:
+    settings.adviceAddress === undefined
+      ? undefined
+      : makeAdviser(settings.adviceAddress, systemClock),
 });
 
 process.on('SIGHUP', () => logs(Part.Host).info('settings file changed', { event: 'reload' }));
--- a/src/calls/call.ts
+++ b/src/calls/call.ts
@@ -1,8 +1,8 @@
 /**
- * JSON calls over HTTP with one deadline for the whole exchange.
+ * JSON calls over HTTP exchanges.
  */
-import type { Dispatcher } from 'undici';
-import Pool from 'undici/lib/dispatcher/pool.js';
+import type { Clock } from '../clock/mod.ts';
+import { makeConnections } from '../exchange/mod.ts';
 
 /** An answer, whatever its status. */
 export interface Answer {
@@ -35,8 +35,6 @@
 }
 
 const connectTimeoutMs = 800;
-const keepAliveMs = 60_000;
-const unsentCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH']);
 
 /** Whether a call ended without an answer. */
 export function isNoAnswer(result: Answer | NoAnswer): result is NoAnswer {
@@ -53,95 +51,45 @@
   }
 }
 
-function noAnswer(error: Error & { code?: string }): NoAnswer {
-  const code = String(error.code ?? 'aborted');
-  return {
-    unsent: unsentCodes.has(code),
-    isRefused: code === 'ECONNREFUSED',
-    reason: `${code}: ${error.message}`,
-  };
-}
-
-/**
- * Collects one answer. The handlers of a dispatch take less than half of the processor time of
- * undici's `request`, which matters to a scheduler that makes a thousand calls a second.
- */
-function makeCollector(
-  timeoutMs: number,
-  resolve: (result: Answer | NoAnswer) => void,
-): Dispatcher.DispatchHandler {
-  const chunks: Buffer[] = [];
-  let status = 0;
-  let controller: Dispatcher.DispatchController | undefined;
-  let isOver = false;
-  const timer = setTimeout(() => {
-    isOver = true;
-    const reason = new Error(`no answer within ${timeoutMs} ms`);
-    // A call that still waits for a connection has no controller; it is aborted when it gets one.
-    resolve({ unsent: controller === undefined, isRefused: false, reason: reason.message });
-    controller?.abort(reason);
-  }, timeoutMs);
-  return {
-    onRequestStart(next) {
-      controller = next;
-      if (isOver) next.abort(new Error('the call has timed out'));
-    },
-    onResponseStart(_controller, statusCode) {
-      status = statusCode;
-    },
-    onResponseData(_controller, chunk) {
-      chunks.push(chunk);
-    },
-    onResponseEnd() {
-      clearTimeout(timer);
-      const whole = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-      resolve({ status, body: decodeBody(whole.toString('utf8')) });
-    },
-    onResponseError(_controller, error) {
-      clearTimeout(timer);
-      resolve(noAnswer(error));
-    },
-  };
-}
-
 /**
  * Makes the calls to one address, over at most so many connections.
  *
  * @example
- * const caller = makeCaller('10.0.0.7:8182', { connections: 4 });
+ * const caller = makeCaller('10.0.0.7:8182', { connections: 4, clock: systemClock });
  * await caller.call({ method: 'GET', path: '/v1/rows-get?table=op', timeoutMs: 500 });
  */
-export function makeCaller(address: string, options: { connections: number }): Caller {
-  const pool = new Pool(`http://${address}`, {
-    connections: options.connections,
-    pipelining: 1,
-    keepAliveTimeout: keepAliveMs,
-    keepAliveMaxTimeout: keepAliveMs,
-    connect: { timeout: connectTimeoutMs },
-    headersTimeout: 0,
-    bodyTimeout: 0,
+export function makeCaller(
+  target: string,
+  { connections, clock }: { connections: number; clock: Clock },
+): Caller {
+  const [address = '', port] = target.split(':');
+  const link = makeConnections({
+    address,
+    port: Number(port),
+    clock,
+    connections,
+    connectTimeoutMs,
   });
   return {
-    call({ method, path, body, headers = {}, timeoutMs }) {
-      return new Promise((resolve) => {
-        const collector = makeCollector(timeoutMs, resolve);
-        pool.dispatch(
-          {
-            method,
-            path,
-            ...(body === undefined
-              ? { headers }
-              : {
-                  headers: { 'content-type': 'application/json', ...headers },
-                  body: JSON.stringify(body),
-                }),
-          },
-          collector,
-        );
+    async call({ body, ...request }) {
+      const result = await link.exchange({
+        ...request,
+        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+      });
+      return result.caseOf<Answer | NoAnswer>({
+        Left: ({ sent, code, message }) => ({
+          unsent: !sent,
+          isRefused: code === 'ECONNREFUSED',
+          reason: message,
+        }),
+        Right: (answer) => ({
+          status: answer.status,
+          body: decodeBody(answer.body.toString('utf8')),
+        }),
       });
     },
     close: () => {
-      pool.destroy().catch(() => undefined);
+      link.close().catch(() => undefined);
     },
   };
 }
--- a/src/cell/advice_pool_test.ts
+++ b/src/cell/advice_pool_test.ts
@@ -2,6 +2,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { systemClock } from '../clock/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { failure, Kind } from '../errors/mod.ts';
 import { makeAdvicePool } from './advice_pool.ts';
@@ -11,7 +12,7 @@
 function setUp(hostCount: number) {
   let nowMs = 0;
   let isFailing = false;
-  const clock: Clock = { now: () => nowMs, wall: () => 0, sleep: () => Promise.resolve() };
+  const clock: Clock = { ...systemClock, now: () => nowMs };
   const names = Array.from({ length: hostCount }, (_, index) => `h${index + 1}`);
   const pool = makeAdvicePool({
     clock,
--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -14,6 +14,7 @@
 /** A clock that runs ten times as fast, so that no test waits for long. */
 const speed = 10;
 const fastClock: Clock = {
+  ...systemClock,
   now: () => systemClock.now() * speed,
   wall: () => systemClock.wall(),
   sleep: (ms, signal) => systemClock.sleep(ms / speed, signal),
--- a/src/cell/worker_link_test.ts
+++ b/src/cell/worker_link_test.ts
@@ -1,6 +1,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { systemClock } from '../clock/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { Rejection } from '../model/mod.ts';
 import type { WorkerReport, Workers } from '../model/mod.ts';
@@ -21,6 +22,7 @@
   const events = { fenced: false, stored: true, neverStores: false };
   let nowMs = 0;
   const clock: Clock = {
+    ...systemClock,
     now: () => nowMs,
     wall: () => 0,
     async sleep(ms) {
--- a/src/clock/clock.ts
+++ b/src/clock/clock.ts
@@ -11,6 +11,8 @@
   wall(): number;
   /** Resolves after the time, or at once when the signal aborts. */
   sleep(ms: number, signal?: AbortSignal): Promise<void>;
+  /** Calls back after the time, unless the function that it returns is called before. */
+  timer(ms: number, callback: () => void): () => void;
 }
 
 /**
@@ -29,4 +31,8 @@
       // An aborted sleep ends early; callers look at their own signal.
     }
   },
+  timer(ms, callback) {
+    const timeout = setTimeout(callback, ms);
+    return () => clearTimeout(timeout);
+  },
 };
--- a/src/clock/virtual_clock.ts
+++ b/src/clock/virtual_clock.ts
@@ -32,6 +32,15 @@
   let order = 0;
   let timers: Timer[] = [];
 
+  function addTimer(ms: number, fire: () => void): () => void {
+    order += 1;
+    const timer: Timer = { at: now + Math.max(0, ms), order, fire };
+    timers.push(timer);
+    return () => {
+      timers = timers.filter((other) => other !== timer);
+    };
+  }
+
   const settle = async () => {
     // setImmediate runs after every promise job, so one turn lets chains of awaits finish.
     await new Promise<void>((resolve) => {
@@ -46,21 +55,17 @@
     sleep(ms, signal) {
       if (signal?.aborted) return Promise.resolve();
       return new Promise((resolve) => {
-        order += 1;
-        const timer: Timer = { at: now + Math.max(0, ms), order, fire: resolve };
-        timers.push(timer);
-        if (!signal) return;
-        const onAbort = () => {
-          timers = timers.filter((other) => other !== timer);
-          resolve();
-        };
-        timer.fire = () => {
-          signal.removeEventListener('abort', onAbort);
+        let cancel = () => undefined as void;
+        const end = () => {
+          cancel();
+          signal?.removeEventListener('abort', end);
           resolve();
         };
-        signal.addEventListener('abort', onAbort, { once: true });
+        cancel = addTimer(ms, end);
+        signal?.addEventListener('abort', end);
       });
     },
+    timer: addTimer,
     async advance(ms) {
       const end = now + ms;
       await settle();
--- a/src/exchange/mod.ts
+++ b/src/exchange/mod.ts
@@ -8,8 +8,10 @@
 
 import { Left, Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
-import { Pool, buildConnector } from 'undici';
-import type { Dispatcher } from 'undici';
+import type { Dispatcher, buildConnector } from 'undici';
+// The package's main module loads several times as much code at start.
+import makeConnector from 'undici/lib/core/connect.js';
+import Pool from 'undici/lib/dispatcher/pool.js';
 
 import type { Clock } from '../clock/mod.ts';
 
@@ -18,6 +20,8 @@
   /** False when certainly no byte of the request was sent, and none will be. */
   sent: boolean;
   message: string;
+  /** Error code of the system or of undici, where there is one. */
+  code?: string;
 }
 
 /** A whole HTTP answer. */
@@ -122,14 +126,14 @@
   onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
     const { code } = error as NodeJS.ErrnoException;
     const message = error.message || code || error.name;
-    this.finish(Left({ sent: this.controller !== undefined, message }));
+    this.finish(Left({ sent: this.controller !== undefined, message, ...(code ? { code } : {}) }));
   }
 }
 
 function makeCountedConnector(connectTimeoutMs: number) {
   const closed: Traffic = { bytesIn: 0, bytesOut: 0 };
   const open = new Set<Socket>();
-  const connectSocket = buildConnector({ timeout: connectTimeoutMs });
+  const connectSocket = makeConnector({ timeout: connectTimeoutMs });
   const connect: buildConnector.connector = (options, callback) => {
     connectSocket(options, (...result) => {
       const [, socket] = result;
@@ -180,29 +184,29 @@
     close: () => pool.destroy(),
     exchange({ method, path, body, headers = {}, timeoutMs, signal }) {
       return new Promise((resolve) => {
-        const ended = new AbortController();
+        let cancelTimer = () => undefined as void;
         const collector = new Collector((result) => {
-          ended.abort();
+          cancelTimer();
+          signal?.removeEventListener('abort', cancel);
           resolve(result);
         });
-        if (signal?.aborted) {
+        function cancel(): void {
           collector.stop('cancelled by the caller');
+        }
+        if (signal?.aborted) {
+          cancel();
           return;
         }
-        const cancel = () => collector.stop('cancelled by the caller');
-        signal?.addEventListener('abort', cancel, { once: true, signal: ended.signal });
+        signal?.addEventListener('abort', cancel);
+        cancelTimer = clock.timer(timeoutMs, () =>
+          collector.stop(`no answer within ${timeoutMs} ms`),
+        );
         const type = body === undefined ? {} : { 'content-type': 'application/json' };
         try {
           pool.dispatch({ path, method, body, headers: { ...type, ...headers } }, collector);
         } catch (error) {
-          resolve(Left({ sent: false, message: (error as Error).message }));
+          collector.stop((error as Error).message);
         }
-        clock.sleep(timeoutMs, ended.signal).then(
-          () => {
-            if (!ended.signal.aborted) collector.stop(`no answer within ${timeoutMs} ms`);
-          },
-          () => undefined,
-        );
       });
     },
   };
--- /dev/null
+++ b/src/exchange/undici.d.ts
@@ -0,0 +1,12 @@
+/** The parts of undici that exchanges use; its main module loads several times as much code. */
+declare module 'undici/lib/dispatcher/pool.js' {
+  import { Pool } from 'undici';
+
+  export default Pool;
+}
+
+declare module 'undici/lib/core/connect.js' {
+  import { buildConnector } from 'undici';
+
+  export default buildConnector;
+}
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -84,7 +84,7 @@
     dataCentre: settings.dataCentre,
     processors: settings.processors,
   };
-  const peers = makePeerClient();
+  const peers = makePeerClient(clock);
   const membership = makeMembership({ store, clock, log: logs.host, self });
   let term: SchedulerTerm | undefined;
   let isDraining = false;
--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -5,6 +5,7 @@
 
 import { isNoAnswer, makeCaller } from '../calls/mod.ts';
 import type { Caller } from '../calls/mod.ts';
+import type { Clock } from '../clock/mod.ts';
 import type { Tickets } from '../cell/mod.ts';
 import { Kind, refuse } from '../errors/mod.ts';
 import type { Outcome } from '../errors/mod.ts';
@@ -89,16 +90,16 @@
  * Makes the client of the other processes.
  *
  * @example
- * const peers = makePeerClient();
+ * const peers = makePeerClient(systemClock);
  * await peers.ping('10.0.0.8:7420');
  */
-export function makePeerClient(): PeerClient {
+export function makePeerClient(clock: Clock): PeerClient {
   const callers = new Map<string, Caller>();
 
   function callerOf(address: string): Caller {
     const known = callers.get(address);
     if (known) return known;
-    const caller = makeCaller(address, { connections });
+    const caller = makeCaller(address, { connections, clock });
     callers.set(address, caller);
     return caller;
   }
--- a/src/testing/sim_network.ts
+++ b/src/testing/sim_network.ts
@@ -73,6 +73,20 @@
       await clock.sleep(ms, signal);
       await gate.pass();
     },
+    timer(ms, callback) {
+      let isCancelled = false;
+      const fire = async () => {
+        await gate.pass();
+        if (!isCancelled) callback();
+      };
+      const cancel = clock.timer(ms, () => {
+        fire().catch(() => undefined);
+      });
+      return () => {
+        isCancelled = true;
+        cancel();
+      };
+    },
   };
 }
 
--- a/src/testing/site.ts
+++ b/src/testing/site.ts
@@ -90,9 +90,9 @@
       clock: systemClock,
       random: makeRandom(index + 1),
       logs: { host: silentLog, front: silentLog, cell: silentLog },
-      store: makeStore(settings.storeAddress),
-      workers: makeWorkers(),
-      adviser: makeAdviser(settings.adviceAddress!),
+      store: makeStore(settings.storeAddress, systemClock),
+      workers: makeWorkers(systemClock),
+      adviser: makeAdviser(settings.adviceAddress!, systemClock),
     });
     await host.start();
     hosts.push(host);
