--- a/src/cell/_ends.ts
+++ b/src/cell/_ends.ts
@@ -1,11 +1,11 @@
 /**
  * Takes note of ended runs and of cancelled jobs, and stops what has become pointless.
  */
+import { logFailure } from '../logs/mod.ts';
 import { isFinal } from '../model/mod.ts';
 import { cancelJob, endRun, taskName, termsOf } from '../scheduler/mod.ts';
 import type { Job, ObservedEnd, Run } from '../scheduler/mod.ts';
 import type { Orders } from './_orders.ts';
-import { logFailure } from './_term_state.ts';
 import type { Term } from './_term_state.ts';
 
 /** Ends of runs and jobs. */
@@ -33,7 +33,10 @@
 
   function maxAttemptsOf(job: Job): number {
     const queues = term.wishes()?.configuration.queues ?? [];
-    return termsOf(job, new Map(queues.map((queue) => [queue.name, queue]))).maxAttempts;
+    return termsOf(
+      job,
+      queues.find(({ name }) => name === job.accepted.queue),
+    ).maxAttempts;
   }
 
   function logJobEnd(job: Job, nowMs: number): void {
--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -2,6 +2,7 @@
  * The workers of the cell: follows their registry, keeps a link to each, and takes note of those
  * that are silent or make no progress.
  */
+import { logFailure } from '../logs/mod.ts';
 import { RunEnd } from '../model/mod.ts';
 import type { StoredRow, WorkerEntry, WorkerReport } from '../model/mod.ts';
 import {
@@ -10,12 +11,11 @@
   makeWorker,
   observe,
   refreshFree,
-  setSilent,
   stalledRuns,
 } from '../scheduler/mod.ts';
 import type { Worker } from '../scheduler/mod.ts';
 import type { Ends } from './_ends.ts';
-import { logFailure, renewWithoutStoreMs } from './_term_state.ts';
+import { renewWithoutStoreMs } from './_term_state.ts';
 import type { Term } from './_term_state.ts';
 import { makeWorkerLink } from './worker_link.ts';
 import type { WorkerLink } from './worker_link.ts';
@@ -101,7 +101,7 @@
         if (worker.isAnswering) {
           log.warn('worker does not answer', { event: 'worker-silent', worker: id, rejection });
         }
-        setSilent(worker);
+        worker.isAnswering = false;
       },
       onFenced: () => term.end('a worker has seen a higher fencing token'),
     });
--- a/src/cell/_job_rows.ts
+++ b/src/cell/_job_rows.ts
@@ -50,13 +50,18 @@
   [...rows].sort((a, b) => a.version - b.version).forEach((row) => takeAccepted(term, row));
 }
 
-/** Takes jobs and cancellations that are new or have been read anew. */
-export function takeJobRows(term: Term, ends: Ends, rows: StoredRow[]): void {
-  takeAcceptedJobs(term, rows);
+/** Cancels the jobs that rows ask to cancel. */
+export function takeCancellations(ends: Ends, rows: StoredRow[]): void {
   rows
     .filter(({ deleted }) => !deleted)
     .flatMap(({ key }) => cancelledJob(key) ?? [])
     .forEach((id) => ends.cancel(id));
+}
+
+/** Takes jobs and cancellations that are new or have been read anew. */
+export function takeJobRows(term: Term, ends: Ends, rows: StoredRow[]): void {
+  takeAcceptedJobs(term, rows);
+  takeCancellations(ends, rows);
   term.schedulePass();
 }
 
--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -9,7 +9,7 @@
 import type { Log } from '../logs/mod.ts';
 import { isFinal, Rejection } from '../model/mod.ts';
 import type { Workers } from '../model/mod.ts';
-import { RunPhase, taskName } from '../scheduler/mod.ts';
+import { RunPhase, runKey, taskName } from '../scheduler/mod.ts';
 import type { CellState, Run, Worker } from '../scheduler/mod.ts';
 import type { WorkerLink } from './worker_link.ts';
 
@@ -40,7 +40,7 @@
 /** Whether the run still is one that takes room on its worker. */
 function isHeld(state: CellState, run: Run): Worker | undefined {
   const worker = state.workers.get(run.workerId);
-  return worker?.runs.get(`${taskName(run)}#${run.attempt}`) === run ? worker : undefined;
+  return worker?.runs.get(runKey(run)) === run ? worker : undefined;
 }
 
 /**
--- a/src/cell/_passes.ts
+++ b/src/cell/_passes.ts
@@ -1,11 +1,12 @@
 /**
  * Decides what to start, stores the decisions and sends their orders; asks for tickets.
  */
+import { logFailure } from '../logs/mod.ts';
+import type { Tickets } from '../model/mod.ts';
 import { decide, stepName, takeAdvice } from '../scheduler/mod.ts';
 import type { AdviceRequest, Run } from '../scheduler/mod.ts';
 import type { Orders } from './_orders.ts';
-import type { AdviceSlot, Tickets } from './advice_pool.ts';
-import { logFailure } from './_term_state.ts';
+import type { AdviceSlot } from './advice_pool.ts';
 import type { Term } from './_term_state.ts';
 
 /** Decides again and again. */
@@ -27,7 +28,7 @@
  * @example
  * passes.schedule();
  */
-export function makePasses(term: Term, orders: () => Orders): Passes {
+export function makePasses(term: Term, orders: Orders): Passes {
   const { state, clock, log, journal, advicePool } = term;
   let timer: NodeJS.Timeout | undefined;
   let earliestMs = 0;
@@ -59,7 +60,7 @@
     new Set(starts.map(({ step }) => step.job)).forEach(term.markJob);
     if (!(await journal.flush())) return;
     starts.forEach((run) => {
-      orders().start(run).catch(logFailure(log, 'a start'));
+      orders.start(run).catch(logFailure(log, 'a start'));
     });
   }
 
--- a/src/cell/_retention.ts
+++ b/src/cell/_retention.ts
@@ -3,9 +3,9 @@
  *
  * The accepted job goes first: a job without its progress would look as if it had not begun.
  */
+import { logFailure } from '../logs/mod.ts';
 import type { Job } from '../scheduler/mod.ts';
 import { cancellationRow, jobRow, progressRow } from './rows.ts';
-import { logFailure } from './_term_state.ts';
 import type { Term } from './_term_state.ts';
 
 /** Deletes old jobs. */
--- a/src/cell/_term_state.ts
+++ b/src/cell/_term_state.ts
@@ -40,7 +40,6 @@
   journal: Journal;
   /** Aborted once the term is over. */
   over: AbortSignal;
-  startedAtMs: number;
   /** Monotonic time until which a predecessor's orders may keep runs alive. */
   predecessorUntilMs: number;
   /** Marks a job's progress to be stored. */
@@ -52,13 +51,3 @@
 
 /** A scheduler that cannot reach the store stops renewing leases after this time. */
 export const renewWithoutStoreMs = 12_000;
-
-/** Logs the failure of a promise that nothing waits for. */
-export function logFailure(log: Log, what: string): (error: unknown) => void {
-  return (error) =>
-    log.error(`${what} failed`, {
-      event: 'defect',
-      reason: String(error),
-      stack: (error as Error).stack,
-    });
-}
--- a/src/cell/advice_pool.ts
+++ b/src/cell/advice_pool.ts
@@ -6,19 +6,10 @@
  * most urgent step may change. Long calls leave a part of the hosts to the short ones.
  */
 import type { Clock } from '../clock/mod.ts';
-import type { Outcome } from '../errors/mod.ts';
-
-/** Tickets, as the service gave them. */
-export interface Tickets {
-  tickets: [worker: string, ticket: string][];
-  validityMs: number;
-}
+import type { AdviceQuestion, Adviser, Tickets } from '../model/mod.ts';
 
 /** Asks the service from one host. */
-export type AskFrom = (
-  host: string,
-  question: { step: string; workers: string[]; timeoutMs: number },
-) => Outcome<Tickets>;
+export type AskFrom = (host: string, question: AdviceQuestion) => ReturnType<Adviser>;
 
 /** A place on a host for one call. */
 export interface AdviceSlot {
@@ -33,7 +24,7 @@
   /** Makes the call and gives the place back. */
   ask(
     slot: AdviceSlot,
-    question: { step: string; workers: string[] },
+    question: Pick<AdviceQuestion, 'step' | 'workers'>,
   ): Promise<Tickets | undefined>;
 }
 
--- a/src/cell/follower.ts
+++ b/src/cell/follower.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../clock/mod.ts';
 import type { Log } from '../logs/mod.ts';
 import type { Store, StoredRow, StoreView } from '../model/mod.ts';
-import type { Outcome } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
 
 /** A table that is being followed. */
 export interface Follower {
@@ -63,14 +63,16 @@
     else log.info('following a table works again', { event: 'dependency-regained', table });
   }
 
+  function fail({ got, message }: Failure): boolean {
+    note(true, `${message} (${JSON.stringify(got)})`);
+    return false;
+  }
+
   async function readWhole(): Promise<boolean> {
     const startedAtMs = clock.now();
     const view = await readAll();
     return view.caseOf({
-      Left: ({ got, message }) => {
-        note(true, `${message} (${JSON.stringify(got)})`);
-        return false;
-      },
+      Left: fail,
       Right: (whole) => {
         version = whole.version;
         currentAtMs = startedAtMs;
@@ -84,10 +86,7 @@
   async function readChanges(after: number): Promise<boolean> {
     const result = await store.watch(table, { after, waitMs });
     return result.caseOf({
-      Left: ({ got, message }) => {
-        note(true, `${message} (${JSON.stringify(got)})`);
-        return false;
-      },
+      Left: fail,
       Right: (view) => {
         if (!view) {
           log.info('the history of a table is gone, reading it whole', {
--- a/src/cell/journal.ts
+++ b/src/cell/journal.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../clock/mod.ts';
 import { Kind } from '../errors/mod.ts';
 import type { Failure } from '../errors/mod.ts';
+import { logFailure } from '../logs/mod.ts';
 import type { Log } from '../logs/mod.ts';
 import type { RowKey, Store, StoreChange, StoredRow } from '../model/mod.ts';
 
@@ -45,6 +46,9 @@
 const latencyWeight = 0.2;
 const initialLatencyMs = 12;
 
+/** Whether a transaction has taken effect or is to be sent again. */
+type WriteOutcome = 'stored' | 'again';
+
 interface Waiter {
   generation: number;
   resolve(isStored: boolean): void;
@@ -92,8 +96,7 @@
     waiters = [];
   }
 
-  function takeBatch(): { entries: Entry[]; change: StoreChange; value: string } {
-    const entries: Entry[] = [];
+  function takeBatch(): { change: StoreChange; value: string } {
     count += 1;
     const value = `${author}.${count}`;
     const change: StoreChange = {
@@ -101,21 +104,22 @@
       writes: [{ ...sequenceRow, value }],
       deletes: [],
     };
+    let rows = 0;
     let bytes = 0;
     for (const [name, entry] of dirty) {
-      if (entries.length >= maxRowsPerTransaction || bytes > maxBytesPerTransaction) break;
+      if (rows >= maxRowsPerTransaction || bytes > maxBytesPerTransaction) break;
       dirty.delete(name);
-      entries.push(entry);
+      rows += 1;
       const text = entry.source();
       if (text === undefined) change.deletes.push(entry.row);
       else change.writes.push({ ...entry.row, value: text });
       bytes += text?.length ?? 0;
     }
-    return { entries, change, value };
+    return { change, value };
   }
 
   /** Whether a conflict shows that the transaction had taken effect; undefined when deposed. */
-  function judgeConflict({ got }: Failure, value: string): 'stored' | 'again' | undefined {
+  function judgeConflict({ got }: Failure, value: string): WriteOutcome | undefined {
     const current = (got as StoredRow[]).find(({ key }) => key === sequenceRow.key);
     if (!current) return undefined;
     if (current.value === value) {
@@ -129,10 +133,10 @@
     return undefined;
   }
 
-  async function send(change: StoreChange, value: string): Promise<'stored' | 'again' | undefined> {
+  async function send(change: StoreChange, value: string): Promise<WriteOutcome | undefined> {
     const startedAtMs = clock.now();
     const result = await store.transact(change);
-    return result.caseOf<'stored' | 'again' | undefined>({
+    return result.caseOf<WriteOutcome | undefined>({
       Right: (version) => {
         sequence = { version, value };
         latencyMs += latencyWeight * (clock.now() - startedAtMs - latencyMs);
@@ -185,7 +189,7 @@
       // A row that waits keeps its place: others wait for what was marked first.
       const waiting = dirty.get(name);
       dirty.set(name, { row, source, generation: waiting?.generation ?? generation });
-      run().catch((error: unknown) => log.error('the journal failed', { reason: String(error) }));
+      run().catch(logFailure(log, 'the journal'));
     },
     flush() {
       if (isClosed) return Promise.resolve(false);
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -25,7 +25,6 @@
 export interface WonClaim {
   epoch: number;
   sequence: { version: number; value: string };
-  claimVersion: number;
   /** Whether the predecessor may still renew leases at workers that it reaches. */
   predecessorMayAct: boolean;
 }
@@ -73,7 +72,8 @@
 const ownViewTimeoutMs = 900;
 const claimJitterMs = 60;
 const claimRetryMs = 200;
-const watchWaitMs = 700;
+/** Why a claim is made after a silence in which the predecessor may go on. */
+const heartbeatStopped = 'the heartbeat of the scheduler has stopped';
 
 /**
  * Makes the election.
@@ -122,7 +122,6 @@
     table: leadershipTable,
     readAll: () => store.read({ table: leadershipTable, part: claimRow.part }),
     onRows: (rows) => rows.forEach(takeRow),
-    waitMs: watchWaitMs,
   });
 
   /** Why this process should claim now; undefined when it should not. */
@@ -135,7 +134,7 @@
     if (claim.instance === '') return 'the scheduler has resigned';
     if (claim.name === self.name) return 'the scheduler was an earlier start of this process';
     if (claim.instance === rejectedInstance) return 'the host of the scheduler rejects connections';
-    if (nowMs - signAtMs > heartbeatTimeoutMs) return 'the heartbeat of the scheduler has stopped';
+    if (nowMs - signAtMs > heartbeatTimeoutMs) return heartbeatStopped;
     return undefined;
   }
 
@@ -164,9 +163,8 @@
         log.info('scheduler claim won', { event: 'scheduler-won', epoch, reason });
         onWon({
           epoch,
-          claimVersion: version,
           sequence: { version, value: sequenceValue },
-          predecessorMayAct: reason === 'the heartbeat of the scheduler has stopped',
+          predecessorMayAct: reason === heartbeatStopped,
         });
       },
     });
--- a/src/cell/mod.ts
+++ b/src/cell/mod.ts
@@ -8,11 +8,4 @@
 export * from './members.ts';
 export * from './term.ts';
 export type { TermOptions, Wishes } from './_term_state.ts';
-export {
-  cancellationRow,
-  claimRow,
-  jobRow,
-  jobsTable,
-  progressRow,
-  progressTable,
-} from './rows.ts';
+export { cancellationRow, jobRow, progressRow } from './rows.ts';
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -6,11 +6,13 @@
  * worker.
  */
 import type { Outcome } from '../errors/mod.ts';
-import { Rejection, RunEnd } from '../model/mod.ts';
+import { Rejection } from '../model/mod.ts';
 import type { StoreView } from '../model/mod.ts';
 import {
   countPending,
   encodeProgress,
+  fleetLoad,
+  lostRun,
   makeCellState,
   pressureOf,
   taskName,
@@ -23,6 +25,7 @@
   readProgress,
   stopLeftOvers,
   takeAcceptedJobs,
+  takeCancellations,
   takeJobRows,
   takeProgress,
 } from './_job_rows.ts';
@@ -36,6 +39,7 @@
 import { makeFollower } from './follower.ts';
 import { makeJournal } from './journal.ts';
 import type { Journal } from './journal.ts';
+import { clockSlowness } from './worker_link.ts';
 import { heartbeatRow, jobsTable, progressRow, sequenceRow } from './rows.ts';
 
 /** The term of a scheduler. */
@@ -58,7 +62,6 @@
 const reportMs = 1_000;
 const readRetryMs = 100;
 const avoidUnhealthyMs = 1_500;
-const leaseSlowness = 1.025;
 const jobsPauseMs = 6;
 const registryPauseMs = 150;
 
@@ -100,16 +103,13 @@
     ...options,
     state,
     over: over.signal,
-    startedAtMs,
     predecessorUntilMs:
       startedAtMs +
-      options.maxLeaseMs * leaseSlowness +
+      options.maxLeaseMs * clockSlowness +
       (options.predecessorMayAct ? renewWithoutStoreMs : 0),
     journal: parts.journal,
     markJob: (job) =>
-      parts.journal.mark(progressRow(job.accepted.id), () =>
-        JSON.stringify(encodeProgress(job, clock.wall())),
-      ),
+      parts.journal.mark(progressRow(job.accepted.id), () => JSON.stringify(encodeProgress(job))),
     schedulePass: () => parts.passes.schedule(),
     end,
   };
@@ -130,7 +130,7 @@
       if (rejection === Rejection.Unhealthy && worker) {
         worker.avoidUntilMs = Math.max(worker.avoidUntilMs, clock.now() + avoidUnhealthyMs);
       }
-      ends.apply([{ run, end: RunEnd.Expired, checkpoint: '' }], `rejected: ${rejection}`);
+      ends.apply([lostRun(run)], `rejected: ${rejection}`);
       term.schedulePass();
     },
     onStarted(run) {
@@ -145,7 +145,7 @@
     },
     onFenced: () => end('a worker has seen a higher fencing token'),
   });
-  parts.passes = makePasses(term, () => parts.orders);
+  parts.passes = makePasses(term, parts.orders);
   const retention = makeRetention(term);
 
   async function readUntilRead(read: () => Outcome<StoreView>): Promise<StoreView> {
@@ -172,7 +172,7 @@
     fleet.addEntries(registry.rows);
     takeProgress(term, progress.rows);
     fleet.linkAll();
-    takeJobRows(term, ends, jobs.rows);
+    takeCancellations(ends, jobs.rows);
     stopLeftOvers(term, ends);
     isLoaded = true;
     log.info('the cell is loaded', {
@@ -191,17 +191,12 @@
     const nowMs = clock.now();
     if (nowMs < reportAtMs) return;
     reportAtMs = nowMs + reportMs;
-    const usable = [...state.workers.values()].filter(({ isAnswering }) => isAnswering);
-    const sum = (amounts: number[]) => amounts.reduce((total, amount) => total + amount, 0);
+    const queued = [...countPending(state).values()].reduce((total, count) => total + count, 0);
     log.info('load of the scheduler', {
       event: 'scheduler-load',
       jobs: state.active.size,
-      queued: sum([...countPending(state).values()]),
-      workers: usable.length,
-      runs: sum(usable.map(({ runs }) => runs.size)),
-      cpu: sum(usable.map(({ entry }) => entry.capacity.cpu)),
-      cpuUsed: sum(usable.map(({ used }) => used.cpu)),
-      cpuHeld: sum(usable.map(({ held }) => held.cpu)),
+      queued,
+      ...fleetLoad(state),
       latenessMs: Math.round(latenessMs),
       storeMs: Math.round(term.journal.latencyMs()),
     });
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -44,7 +44,7 @@
 const storeWaitMs = 400;
 const retryMs = 150;
 /** A worker's clock may run slower than ours by this factor. */
-const clockSlowness = 1.025;
+export const clockSlowness = 1.025;
 const deadSlackMs = 100;
 
 /**
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -86,7 +86,7 @@
 
   /** Refuses a job, unless an earlier call with its id was accepted without the client hearing so. */
   async function refuseForLoad(call: RoutedCall): Promise<ClientAnswer> {
-    const known = await store.read({ ...jobRow(call.jobId) });
+    const known = await store.read(jobRow(call.jobId));
     return known.caseOf<ClientAnswer | Promise<ClientAnswer>>({
       Left: (problem) => passOn(call, problem),
       Right: ({ rows }) => {
@@ -144,11 +144,11 @@
 
   /** The stored state; undefined for a job that is not known. */
   async function readState(jobId: string): Outcome<JobState | undefined> {
-    const progress = await store.read({ ...progressRow(jobId) });
+    const progress = await store.read(progressRow(jobId));
     if (progress.isLeft()) return progress;
     const [row] = progress.orDefault({ rows: [], version: 0 }).rows;
     if (row) return Right((JSON.parse(row.value) as { state: JobState }).state);
-    const job = await store.read({ ...jobRow(jobId) });
+    const job = await store.read(jobRow(jobId));
     return job.map(({ rows }) => (rows.length > 0 ? JobState.Queued : undefined));
   }
 
@@ -164,7 +164,7 @@
   }
 
   async function cancel(call: RoutedCall): Promise<ClientAnswer> {
-    const known = await store.read({ ...jobRow(call.jobId) });
+    const known = await store.read(jobRow(call.jobId));
     if (known.isLeft()) {
       return passOn(call, known.swap().orDefault(failure(Kind.TableUnavailable, '')));
     }
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -6,18 +6,20 @@
 import { Left } from 'purify-ts';
 
 import { makeAdvicePool, makeLeadership, makeTerm } from '../cell/mod.ts';
-import type { Leadership, Member, SchedulerTerm, WonClaim } from '../cell/mod.ts';
+import type { Heartbeat, Leadership, Member, SchedulerTerm, WonClaim } from '../cell/mod.ts';
 import type { Clock, Random } from '../clock/mod.ts';
 import { failure, Kind, refuse } from '../errors/mod.ts';
 import { listen, makeFront, makeRouteTable, serveClient } from '../front/mod.ts';
 import type { HttpRequest, RouteTable } from '../front/mod.ts';
+import { logFailure } from '../logs/mod.ts';
 import type { Log } from '../logs/mod.ts';
-import type { Store, Workers } from '../model/mod.ts';
+import type { Adviser, Store, Workers } from '../model/mod.ts';
 import {
   configurationKey,
   decodeConfiguration,
   decodeJob,
   decodeWorker,
+  defaultMaxBodyBytes,
   encodePending,
   encodeState,
   evacuatedDataCentre,
@@ -26,11 +28,10 @@
   readinessPath,
   registryTable,
 } from '../../platform/mod.ts';
-import type { Adviser, HostSettings } from '../../platform/mod.ts';
+import type { HostSettings } from '../../platform/mod.ts';
 import { makeMembership } from './membership.ts';
 import { makePeerGroup } from './peer_group.ts';
 import { makePeerClient, servePeers } from './peers.ts';
-import type { AdviceQuestion } from './peers.ts';
 import { watchStore } from './store_health.ts';
 import { makeWishes } from './wishes.ts';
 
@@ -54,8 +55,9 @@
   kill(): void;
 }
 
+const readinessMaxBodyBytes = 1_024;
 const pingEveryMs = 250;
-const pendingAgeLimitMs = 1_900;
+const heartbeatAgeLimitMs = 1_900;
 const freshnessMarginMs = 350;
 const strongProcessors = 2;
 const claimDelayPerProcessorMs = 150;
@@ -115,11 +117,8 @@
     askPeers: group.askWishes,
   });
 
-  function advise({ step, workers: ids, timeoutMs }: AdviceQuestion) {
-    return adviser
-      ? adviser(step, ids, timeoutMs)
-      : Promise.resolve(refuse(Kind.PeerUnavailable, 'no advice service is set'));
-  }
+  const advise: Adviser =
+    adviser ?? (() => Promise.resolve(refuse(Kind.PeerUnavailable, 'no advice service is set')));
 
   const advicePool = makeAdvicePool({
     clock,
@@ -183,20 +182,23 @@
     return routes;
   }
 
+  function freshHeartbeat(): Heartbeat | undefined {
+    const heartbeat = leadership.heartbeat();
+    const isFresh = heartbeat && clock.now() - heartbeat.seenAtMs <= heartbeatAgeLimitMs;
+    return isFresh ? heartbeat : undefined;
+  }
+
   const front = makeFront({
     store,
     clock,
     log: logs.front,
     routes: currentRoutes,
     pendingIn(queue) {
-      const heartbeat = leadership.heartbeat();
-      if (!heartbeat || clock.now() - heartbeat.seenAtMs > pendingAgeLimitMs) return undefined;
-      return heartbeat.pending && (heartbeat.pending[queue] ?? 0);
+      const pending = freshHeartbeat()?.pending;
+      return pending && (pending[queue] ?? 0);
     },
     isOverloaded(queue, organisation) {
-      const heartbeat = leadership.heartbeat();
-      if (!heartbeat || clock.now() - heartbeat.seenAtMs > pendingAgeLimitMs) return false;
-      const { busyQueues, beyondShare } = heartbeat;
+      const { busyQueues = [], beyondShare = [] } = freshHeartbeat() ?? {};
       return busyQueues.includes(queue) && beyondShare.includes(organisation);
     },
     isStoreDown: storeHealth.isDown,
@@ -224,11 +226,7 @@
     }
   }
 
-  const onError = (error: unknown) =>
-    logs.host.error('a call or a loop failed', {
-      reason: String(error),
-      stack: (error as Error).stack,
-    });
+  const onError = logFailure(logs.host, 'a call or a loop');
   let servers: Awaited<ReturnType<typeof listen>>[] = [];
 
   function kill(): void {
@@ -244,13 +242,13 @@
       servers = await Promise.all([
         listen({
           address: settings.listen.callers,
-          maxBodyBytes: () => wishes.current()?.configuration.maxBodyBytes ?? 262_144,
+          maxBodyBytes: () => wishes.current()?.configuration.maxBodyBytes ?? defaultMaxBodyBytes,
           handle: (request) => serveClient(front, request),
           onError,
         }),
         listen({
           address: settings.listen.readiness,
-          maxBodyBytes: () => 1_024,
+          maxBodyBytes: () => readinessMaxBodyBytes,
           handle: answerReadiness,
           onError,
         }),
--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -6,7 +6,6 @@
 import { isNoAnswer, makeCaller } from '../calls/mod.ts';
 import type { Caller } from '../calls/mod.ts';
 import type { Clock } from '../clock/mod.ts';
-import type { Tickets } from '../cell/mod.ts';
 import { Kind, refuse } from '../errors/mod.ts';
 import type { Outcome } from '../errors/mod.ts';
 import { listen } from '../front/mod.ts';
@@ -17,19 +16,13 @@
   HttpRequest,
   HttpServer,
 } from '../front/mod.ts';
+import type { AdviceQuestion, Adviser, Tickets } from '../model/mod.ts';
 import type { WishesMessage } from './wishes.ts';
 
-/** A call for tickets that one process makes for another. */
-export interface AdviceQuestion {
-  step: string;
-  workers: string[];
-  timeoutMs: number;
-}
-
 /** What a process does for the others. */
 export interface PeerService {
   instance: string;
-  advise(question: AdviceQuestion): Outcome<Tickets>;
+  advise: Adviser;
   relay(call: ClientCall): Promise<ClientAnswer>;
   wishes(): WishesMessage | undefined;
 }
--- a/src/logs/mod.ts
+++ b/src/logs/mod.ts
@@ -83,3 +83,13 @@
   warn: () => undefined,
   error: () => undefined,
 };
+
+/** Logs the failure of a promise that nothing waits for. */
+export function logFailure(log: Log, what: string): (error: unknown) => void {
+  return (error) =>
+    log.error(`${what} failed`, {
+      event: 'defect',
+      reason: String(error),
+      stack: (error as Error).stack,
+    });
+}
--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -47,8 +47,8 @@
 }
 
 /** The figures of a job's queue: those in force, or those at acceptance once the queue is gone. */
-export function termsOf(job: Job, queues: ReadonlyMap<string, Queue>): QueueTerms {
-  return queues.get(job.accepted.queue) ?? job.accepted.terms;
+export function termsOf(job: Job, queue: Queue | undefined): QueueTerms {
+  return queue ?? job.accepted.terms;
 }
 
 function isDue(job: Job, occurrence: number, wallMs: number): boolean {
@@ -150,29 +150,26 @@
 ): void {
   const { advice } = step;
   if (advice.isPending) return;
-  // A plan was made for the tickets that have now arrived, or it has become too old.
+  // A plan was made for the tickets that have now arrived.
   dropPlan(pass.state, step);
   const untilMs = pass.nowMs + pass.orderDelayMs;
   const withTicket = usable.filter((worker) => hasTicket(step, worker, untilMs));
   const counts = choose(step, withTicket, wanted);
-  if (counts) {
-    const starts = start(pass.state, step, counts, waiting, pass.nowMs);
-    pass.decisions.starts.push(...starts);
-    if (starts.length === wanted) return;
-  }
-  if (pass.nowMs < advice.notBeforeMs) return;
-  const left = wanted - (counts ? [...counts.values()].reduce((sum, n) => sum + n, 0) : 0);
+  const starts = counts ? start(pass.state, step, counts, waiting, pass.nowMs) : [];
+  pass.decisions.starts.push(...starts);
+  const left = wanted - starts.length;
+  if (left === 0 || pass.nowMs < advice.notBeforeMs) return;
   const unknown = workersNotAsked(step, usable);
   if (unknown.length > 0) {
     ask(pass, step, unknown, terms);
     return;
   }
-  const allowed = usable.filter(
-    (worker) => advice.allowed.has(adviceKey(worker)) && !hasTicket(step, worker, untilMs),
+  // A gang needs the tickets of all its workers anew, single tasks only further ones.
+  const candidates = usable.filter(
+    (worker) =>
+      advice.allowed.has(adviceKey(worker)) &&
+      (step.spec.gang || !hasTicket(step, worker, untilMs)),
   );
-  const candidates = step.spec.gang
-    ? usable.filter((w) => advice.allowed.has(adviceKey(w)))
-    : allowed;
   planWithoutTickets(pass, step, candidates, left, terms);
 }
 
@@ -190,8 +187,9 @@
     if (!step.advice.isPending) dropPlan(state, step);
     return;
   }
-  const terms = termsOf(step.job, lookup.queues);
-  const service = lookup.queues.get(accepted.queue)?.service ?? accepted.service;
+  const queue = lookup.queues.get(accepted.queue);
+  const terms = termsOf(step.job, queue);
+  const service = queue?.service ?? accepted.service;
   const withinLimit = placesWithinLimit(
     step,
     state.usage.get(accepted.organisation),
@@ -236,7 +234,10 @@
   };
   const ranked = [...state.active]
     .flatMap((job) => readySteps(job, inputs.wallMs))
-    .map((step) => ({ step, rank: rankOf(step, termsOf(step.job, lookup.queues), nowMs) }))
+    .map((step) => ({
+      step,
+      rank: rankOf(step, termsOf(step.job, lookup.queues.get(step.job.accepted.queue)), nowMs),
+    }))
     .sort((a, b) => compareRanks(a.rank, b.rank));
   Object.values(Urgency).forEach((urgency) => {
     const steps = ranked.filter(({ rank }) => rank.urgency === urgency);
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -5,7 +5,7 @@
 import type { AcceptedJob, EndedRun } from '../model/mod.ts';
 import { longestChainMs } from './order.ts';
 import { releaseRun, reserveRun } from './rooms.ts';
-import { RunPhase } from './state.ts';
+import { keepCheckpoint, makeRun, tasksOf } from './state.ts';
 import type { CellState, Job, Run, Step, Task, Worker } from './state.ts';
 
 /** Delay before a task is placed again that did not start, or whose run was lost. */
@@ -112,18 +112,10 @@
   const task = step.tasks[index]!;
   task.attempt = attempt;
   if (step.job.state === JobState.Queued) step.job.state = JobState.Running;
-  const run: Run = {
-    step,
-    index,
-    attempt,
-    workerId: worker.entry.id,
-    bornMs: worker.bornMs,
-    phase: RunPhase.Ordered,
-    orderedAtMs: nowMs,
-    percent: 0,
-    progressAtMs: nowMs,
-    unsettled: false,
-  };
+  const run = makeRun(
+    { step, index, attempt, workerId: worker.entry.id, bornMs: worker.bornMs },
+    nowMs,
+  );
   task.runs.push(run);
   reserveRun(state, worker, run);
   return run;
@@ -146,12 +138,10 @@
 
 function countFailure(run: Run, task: Task, maxAttempts: number): boolean {
   // One failed end of a gang's attempt stands for all its members.
-  const tasks = run.step.spec.gang ? run.step.tasks : [task];
   if (task.failedAttempt === run.attempt) return false;
-  tasks.forEach((member) => {
+  tasksOf(run).forEach((member) => {
     member.failures += 1;
     member.failedAttempt = run.attempt;
-    member.failedOn = run.workerId;
   });
   return !run.step.spec.longRunning && task.failures >= maxAttempts;
 }
@@ -179,19 +169,13 @@
   const task = step.tasks[index]!;
   releaseRun(state, run);
   task.runs = task.runs.filter((other) => other !== run);
-  if (checkpoint !== '') {
-    // Any member's checkpoint is valid for its gang, and all members must carry the same.
-    const members = step.spec.gang ? step.tasks : [task];
-    members.forEach((member) => {
-      member.checkpoint = checkpoint;
-    });
-  }
+  keepCheckpoint(run, checkpoint);
   if (isFinal(job.state)) return { toStop: [] };
   if (end === RunEnd.Done) {
-    const finished = step.spec.gang ? step.tasks : [task];
-    finished.forEach((member) => completeTask(step, member));
+    tasksOf(run).forEach((member) => completeTask(step, member));
     settleJob(state, job, nowMs);
-    return { toStop: finished.flatMap(({ runs }) => (step.spec.gang ? [] : runs)) };
+    // The other members of a gang end by themselves.
+    return { toStop: step.spec.gang ? [] : task.runs };
   }
   if (end === RunEnd.Expired) task.notBeforeMs = nowMs + retryDelayMs;
   if (end === RunEnd.Failed && countFailure(run, task, maxAttempts)) {
--- a/src/scheduler/mod.ts
+++ b/src/scheduler/mod.ts
@@ -8,5 +8,4 @@
 export * from './records.ts';
 export * from './tickets.ts';
 export * from './workers.ts';
-export { objectiveMs } from './order.ts';
-export { needOf, refreshFree } from './rooms.ts';
+export { refreshFree } from './rooms.ts';
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -4,7 +4,7 @@
  * Single tasks go where they leave the least room, so that wide free rooms are left for gangs; gangs
  * go to the workers that take most members, within one rack where the step asks for it.
  */
-import { add, copiesThatFit, fits, noResources, subtract, times } from '../model/mod.ts';
+import { add, copiesThatFit, fits, noResources, subtract } from '../model/mod.ts';
 import type { Resources } from '../model/mod.ts';
 import { needOf } from './rooms.ts';
 import type { Step, Worker } from './state.ts';
@@ -58,13 +58,11 @@
 }
 
 /** How many tasks of the step a worker can take now. */
-export function placesOn(step: Step, worker: Worker, taken = 0): number {
-  const need = needOf(step);
-  const room = taken === 0 ? worker.free : subtract(worker.free, times(need, taken));
+function placesOn(step: Step, worker: Worker): number {
   const { maxPerWorker } = step.spec;
-  const byRoom = copiesThatFit(need, room);
+  const byRoom = copiesThatFit(needOf(step), worker.free);
   if (maxPerWorker === 0) return byRoom;
-  return Math.min(byRoom, maxPerWorker - tasksOnWorker(step, worker.entry.id) - taken);
+  return Math.min(byRoom, maxPerWorker - tasksOnWorker(step, worker.entry.id));
 }
 
 function isPreferred(step: Step, worker: Worker): boolean {
@@ -72,50 +70,49 @@
   return preferredRack === undefined || worker.entry.labels.includes(preferredRack);
 }
 
-/** Processor that would be left on a worker. */
-function slack(worker: Worker, need: Resources): number {
-  return worker.free.cpu - need.cpu;
+interface Place {
+  worker: Worker;
+  count: number;
+}
+
+/** The workers that can take tasks of the step now, and how many. */
+function placesOf(step: Step, workers: Worker[]): Place[] {
+  return workers
+    .map((worker) => ({ worker, count: placesOn(step, worker) }))
+    .filter(({ count }) => count > 0);
+}
+
+/** Takes places in their order until there are as many as wanted. */
+function takePlaces(places: Place[], wanted: number): Map<Worker, number> {
+  const counts = new Map<Worker, number>();
+  let left = wanted;
+  for (const { worker, count } of places) {
+    if (left === 0) break;
+    const taken = Math.min(left, count);
+    counts.set(worker, taken);
+    left -= taken;
+  }
+  return counts;
 }
 
 /**
  * Chooses workers for up to so many single tasks; the result counts tasks by worker.
  *
  * @example
- * const counts = spread(step, workers, 3);
+ * const counts = chooseWorkers(step, workers, 3);
  */
 export function chooseWorkers(step: Step, workers: Worker[], wanted: number): Map<Worker, number> {
-  const need = needOf(step);
-  const counts = new Map<Worker, number>();
-  const sorted = workers
-    .filter((worker) => placesOn(step, worker) > 0)
-    .sort(
-      (a, b) =>
-        Number(isPreferred(step, b)) - Number(isPreferred(step, a)) ||
-        slack(a, need) - slack(b, need),
-    );
-  let left = wanted;
-  for (const worker of sorted) {
-    if (left === 0) break;
-    const count = Math.min(left, placesOn(step, worker));
-    counts.set(worker, count);
-    left -= count;
-  }
-  return counts;
+  const places = placesOf(step, workers).sort(
+    ({ worker: a }, { worker: b }) =>
+      Number(isPreferred(step, b)) - Number(isPreferred(step, a)) || a.free.cpu - b.free.cpu,
+  );
+  return takePlaces(places, wanted);
 }
 
 function fillGang(step: Step, workers: Worker[]): Map<Worker, number> | undefined {
-  const places = workers
-    .map((worker) => ({ worker, count: placesOn(step, worker) }))
-    .filter(({ count }) => count > 0)
-    .sort((a, b) => b.count - a.count);
-  const counts = new Map<Worker, number>();
-  let left = step.spec.count;
-  for (const { worker, count } of places) {
-    if (left === 0) break;
-    counts.set(worker, Math.min(left, count));
-    left -= Math.min(left, count);
-  }
-  return left === 0 ? counts : undefined;
+  const places = placesOf(step, workers).sort((a, b) => b.count - a.count);
+  const total = places.reduce((sum, { count }) => sum + count, 0);
+  return total >= step.spec.count ? takePlaces(places, step.spec.count) : undefined;
 }
 
 /**
--- a/src/scheduler/pressure.ts
+++ b/src/scheduler/pressure.ts
@@ -26,15 +26,27 @@
 /** Nothing is refused while less than this part of the fleet is in use. */
 const fullPart = 0.85;
 
-function isFleetFull(state: CellState): boolean {
-  let capacity = 0;
-  let used = 0;
-  state.workers.forEach((worker) => {
-    if (!worker.isAnswering) return;
-    capacity += worker.entry.capacity.cpu;
-    used += worker.used.cpu + worker.held.cpu;
+/** What the workers that answer have, run and hold; processor in thousandths of a core. */
+export interface FleetLoad {
+  workers: number;
+  runs: number;
+  cpu: number;
+  cpuUsed: number;
+  cpuHeld: number;
+}
+
+/** Adds up the load of the workers that answer. */
+export function fleetLoad(state: CellState): FleetLoad {
+  const load: FleetLoad = { workers: 0, runs: 0, cpu: 0, cpuUsed: 0, cpuHeld: 0 };
+  state.workers.forEach(({ isAnswering, entry, runs, used, held }) => {
+    if (!isAnswering) return;
+    load.workers += 1;
+    load.runs += runs.size;
+    load.cpu += entry.capacity.cpu;
+    load.cpuUsed += used.cpu;
+    load.cpuHeld += held.cpu;
   });
-  return used >= capacity * fullPart;
+  return load;
 }
 
 /**
@@ -48,13 +60,17 @@
   configuration: Configuration,
   nowMs: number,
 ): Pressure {
-  if (!isFleetFull(state)) return { busyQueues: [], beyondShare: [] };
+  const { cpu, cpuUsed, cpuHeld } = fleetLoad(state);
+  if (cpuUsed + cpuHeld < cpu * fullPart) return { busyQueues: [], beyondShare: [] };
   const queues = new Map(configuration.queues.map((queue) => [queue.name, queue]));
   const busy = new Set<string>();
   state.active.forEach((job) => {
     const { queue } = job.accepted;
     if (job.state !== 'queued' || job.accepted.spec.repetition || busy.has(queue)) return;
-    const limitMs = Math.max(busyWaitMs, busyPart * objectiveMs(job, termsOf(job, queues)));
+    const limitMs = Math.max(
+      busyWaitMs,
+      busyPart * objectiveMs(job, termsOf(job, queues.get(queue))),
+    );
     if (nowMs - job.acceptedAtMs > limitMs) busy.add(queue);
   });
   const shares = fairShares(state, configuration, state.workers.values());
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -6,8 +6,8 @@
 import { isFinal } from '../model/mod.ts';
 import { stepsOf } from './jobs.ts';
 import { reserveRun } from './rooms.ts';
-import { makeWorker, RunPhase } from './state.ts';
-import type { CellState, Job, Task } from './state.ts';
+import { makeRun, makeWorker } from './state.ts';
+import type { CellState, Job, Step, Task } from './state.ts';
 
 /** A run: worker, incarnation, attempt. */
 type RunRecord = [worker: string, bornMs: number, attempt: number];
@@ -25,8 +25,6 @@
 /** Progress of a job; steps by occurrence. */
 export interface JobRecord {
   state: JobState;
-  /** Wall-clock time of the final state, in milliseconds since 1970. */
-  endedAtMs?: number;
   occurrences: [occurrence: number, steps: TaskRecord[][]][];
 }
 
@@ -45,33 +43,30 @@
  * Encodes the progress of a job.
  *
  * @example
- * const text = JSON.stringify(encodeProgress(job, Date.now()));
+ * const text = JSON.stringify(encodeProgress(job));
  */
-export function encodeProgress(job: Job, wallMs: number): JobRecord {
-  if (isFinal(job.state)) {
-    const left = [...job.occurrences].map(([k, steps]): [number, TaskRecord[][]] => [
-      k,
-      // Only runs that still take room matter for an ended job.
-      steps.map(({ tasks }) => tasks.map(encodeTask).filter(([, , , , , runs]) => runs.length > 0)),
-    ]);
-    return {
-      state: job.state,
-      endedAtMs: wallMs,
-      occurrences: left.filter(([, steps]) => steps.some((tasks) => tasks.length > 0)),
-    };
-  }
+export function encodeProgress(job: Job): JobRecord {
+  // Of an ended job only the runs that still take room matter.
+  const isKept: (task: TaskRecord) => boolean = isFinal(job.state)
+    ? ([, , , , , runs]) => runs.length > 0
+    : ([, attempt, , done]) => attempt > 0 || done === 1;
+  const occurrences = [...job.occurrences].map(([k, steps]): [number, TaskRecord[][]] => [
+    k,
+    steps.map(({ tasks }) => tasks.map(encodeTask).filter(isKept)),
+  ]);
   return {
     state: job.state,
-    occurrences: [...job.occurrences].map(([k, steps]) => [
-      k,
-      steps.map(({ tasks }) =>
-        tasks.map(encodeTask).filter(([, attempt, , done]) => attempt > 0 || done),
-      ),
-    ]),
+    occurrences: occurrences.filter(([, steps]) => steps.some((tasks) => tasks.length > 0)),
   };
 }
 
-function restoreRuns(state: CellState, task: Task, runs: RunRecord[], place: Place): void {
+function restoreRuns(
+  state: CellState,
+  { step, index }: { step: Step; index: number },
+  runs: RunRecord[],
+  nowMs: number,
+): void {
+  const task = step.tasks[index]!;
   runs.forEach(([workerId, bornMs, attempt]) => {
     let worker = state.workers.get(workerId);
     if (!worker) {
@@ -89,28 +84,12 @@
       worker.isRegistered = false;
       state.workers.set(workerId, worker);
     }
-    const run = {
-      ...place,
-      attempt,
-      workerId,
-      bornMs,
-      phase: RunPhase.Ordered,
-      orderedAtMs: place.nowMs,
-      percent: 0,
-      progressAtMs: place.nowMs,
-      unsettled: false,
-    };
+    const run = makeRun({ step, index, attempt, workerId, bornMs }, nowMs);
     task.runs.push(run);
     reserveRun(state, worker, run);
   });
 }
 
-interface Place {
-  step: ReturnType<typeof stepsOf>[number];
-  index: number;
-  nowMs: number;
-}
-
 /**
  * Restores the progress of a job that has just been added.
  *
@@ -136,7 +115,7 @@
         const task = step.tasks[index]!;
         Object.assign(task, { attempt, failures, checkpoint, done: done === 1 });
         if (done === 1) step.remaining -= 1;
-        restoreRuns(state, task, runs, { step, index, nowMs });
+        restoreRuns(state, { step, index }, runs, nowMs);
       });
     });
   });
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -44,8 +44,6 @@
   done: boolean;
   checkpoint: string;
   runs: Run[];
-  /** Worker of the last failed run. */
-  failedOn?: string;
   /** Time before which the task is not started again. */
   notBeforeMs?: number;
 }
@@ -177,7 +175,40 @@
   return `${stepName(run.step)}.${run.index}`;
 }
 
+/** Key of a run among the runs of a worker, by the task's name. */
+export function keyOf({ task, attempt }: { task: string; attempt: number }): string {
+  return `${task}#${attempt}`;
+}
+
 /** Key of a run among the runs of a worker. */
-export function runKey(run: { step: Step; index: number; attempt: number }): string {
-  return `${taskName(run)}#${run.attempt}`;
+export function runKey(run: Pick<Run, 'step' | 'index' | 'attempt'>): string {
+  return keyOf({ task: taskName(run), attempt: run.attempt });
+}
+
+/** Makes a run that has been ordered. */
+export function makeRun(
+  fields: Pick<Run, 'step' | 'index' | 'attempt' | 'workerId' | 'bornMs'>,
+  nowMs: number,
+): Run {
+  return {
+    ...fields,
+    phase: RunPhase.Ordered,
+    orderedAtMs: nowMs,
+    percent: 0,
+    progressAtMs: nowMs,
+    unsettled: false,
+  };
+}
+
+/** The tasks that share the fate of a run: all members of its gang, or its task alone. */
+export function tasksOf({ step, index }: Pick<Run, 'step' | 'index'>): Task[] {
+  return step.spec.gang ? step.tasks : [step.tasks[index]!];
+}
+
+/** Keeps a checkpoint; that of any member is valid for its gang, and all must carry the same. */
+export function keepCheckpoint(run: Run, checkpoint: string): void {
+  if (checkpoint === '') return;
+  tasksOf(run).forEach((task) => {
+    task.checkpoint = checkpoint;
+  });
 }
--- a/src/scheduler/workers.ts
+++ b/src/scheduler/workers.ts
@@ -2,8 +2,8 @@
  * What reports of workers, and their silence, mean for the runs.
  */
 import { RunEnd } from '../model/mod.ts';
-import type { EndedRun, WorkerReport } from '../model/mod.ts';
-import { RunPhase, runKey } from './state.ts';
+import type { WorkerReport } from '../model/mod.ts';
+import { keepCheckpoint, keyOf, RunPhase, runKey } from './state.ts';
 import type { CellState, Run, Worker } from './state.ts';
 
 /** A run and the end that a report implies. */
@@ -24,23 +24,19 @@
 const avoidMs = 4_000;
 const maxAvoidMs = 16_000;
 
-function listedKeys(rows: { task: string; attempt: number }[]): Set<string> {
-  return new Set(rows.map(({ task, attempt }) => `${task}#${attempt}`));
+/** The end of a run that its worker does not list: it did not start, or was lost. */
+export function lostRun(run: Run): ObservedEnd {
+  return { run, end: RunEnd.Expired, checkpoint: '' };
 }
 
 /** The ends of all runs of a worker whose lease has run out. */
 export function endsOfLostWorker(worker: Worker): ObservedEnd[] {
-  return [...worker.runs.values()].map((run) => ({ run, end: RunEnd.Expired, checkpoint: '' }));
-}
-
-/** The ends of the runs of earlier incarnations, of which the present one knows nothing. */
-function endsOfEarlierIncarnations(worker: Worker, bornMs: number): ObservedEnd[] {
-  return endsOfLostWorker(worker).filter(({ run }) => run.bornMs !== bornMs);
+  return [...worker.runs.values()].map(lostRun);
 }
 
 function noteProgress(worker: Worker, report: WorkerReport, nowMs: number): void {
   report.running.forEach(({ task, attempt, checkpoint, percent }) => {
-    const run = worker.runs.get(`${task}#${attempt}`);
+    const run = worker.runs.get(keyOf({ task, attempt }));
     if (!run) return;
     if (run.phase === RunPhase.Ordered) {
       run.phase = RunPhase.Running;
@@ -51,71 +47,46 @@
       run.percent = percent;
       run.progressAtMs = nowMs;
     }
-    if (checkpoint !== '') {
-      const { tasks, spec } = run.step;
-      const members = spec.gang ? tasks : [tasks[run.index]!];
-      members.forEach((member) => {
-        member.checkpoint = checkpoint;
-      });
-    }
+    keepCheckpoint(run, checkpoint);
   });
 }
 
-/** Runs that a complete list of the worker no longer shows. */
-function missingRuns(
-  worker: Worker,
-  report: WorkerReport,
-  ended: EndedRun[],
-  sentAtMs: number,
-): ObservedEnd[] {
-  const known = listedKeys([...report.running, ...ended]);
-  return (
-    [...worker.runs.values()]
-      .filter((run) => !known.has(runKey(run)))
-      // An order that was under way when the list was made may still take effect.
-      .filter(
-        (run) => run.phase !== RunPhase.Ordered && run.progressAtMs < sentAtMs && !run.unsettled,
-      )
-      .map((run) => ({ run, end: RunEnd.Expired, checkpoint: '' }))
-  );
+/** Whether an order of this scheduler may still take effect, or did after the list was asked for. */
+function mayStillStart(run: Run, sentAtMs: number): boolean {
+  return run.phase === RunPhase.Ordered || run.unsettled || run.progressAtMs >= sentAtMs;
 }
 
 /**
  * Compares a report with what is believed of the worker and notes progress.
  *
  * @example
- * const { ends, strangers } = observe(state, worker, report, { nowMs, sentAtMs });
+ * const { ends, strangers } = observe(worker, report, { nowMs, sentAtMs });
  */
 export function observe(
   worker: Worker,
   report: WorkerReport,
   { nowMs, sentAtMs }: { nowMs: number; sentAtMs: number },
 ): Observation {
-  const ends = endsOfEarlierIncarnations(worker, report.bornMs);
+  // The token of this scheduler now keeps out all orders of its predecessors: what the first list
+  // does not show has not started and never will.
   const isFirst = !worker.isSettled;
   worker.bornMs = report.bornMs;
   worker.isAnswering = true;
+  worker.isSettled = true;
   noteProgress(worker, report, nowMs);
-  report.ended.forEach(({ task, attempt, end, checkpoint }) => {
-    const run = worker.runs.get(`${task}#${attempt}`);
-    if (run && !ends.some((known) => known.run === run)) ends.push({ run, end, checkpoint });
+  const runs = [...worker.runs.values()];
+  // Of the runs of earlier incarnations the present one knows nothing.
+  const earlier = runs.filter(({ bornMs }) => bornMs !== report.bornMs);
+  const own = runs.filter(({ bornMs }) => bornMs === report.bornMs);
+  const reported = report.ended.flatMap(({ task, attempt, end, checkpoint }) => {
+    const run = worker.runs.get(keyOf({ task, attempt }));
+    return run && own.includes(run) ? [{ run, end, checkpoint }] : [];
   });
-  if (isFirst) {
-    // The token of this scheduler now keeps out all orders of its predecessors: what the first list
-    // does not show has not started and never will.
-    const known = listedKeys([...report.running, ...report.ended]);
-    [...worker.runs.values()]
-      .filter((run) => !known.has(runKey(run)) && !ends.some((each) => each.run === run))
-      .forEach((run) => ends.push({ run, end: RunEnd.Expired, checkpoint: '' }));
-    worker.isSettled = true;
-  } else {
-    missingRuns(worker, report, report.ended, sentAtMs)
-      .filter(({ run }) => !ends.some((known) => known.run === run))
-      .forEach((each) => ends.push(each));
-  }
-  const strangers = report.running.filter(
-    ({ task, attempt }) => !worker.runs.has(`${task}#${attempt}`),
-  );
+  const listed = new Set([...report.running, ...report.ended].map(keyOf));
+  const missing = own.filter((run) => !listed.has(runKey(run)));
+  const lost = isFirst ? missing : missing.filter((run) => !mayStillStart(run, sentAtMs));
+  const ends = [...earlier.map(lostRun), ...reported, ...lost.map(lostRun)];
+  const strangers = report.running.filter((each) => !worker.runs.has(keyOf(each)));
   return { ends, strangers };
 }
 
@@ -155,8 +126,3 @@
         nowMs - lastProgressMs(run) > stallMs,
     );
 }
-
-/** Notes that a worker did not answer. */
-export function setSilent(worker: Worker): void {
-  worker.isAnswering = false;
-}
--- a/src/scheduler/workers_test.ts
+++ b/src/scheduler/workers_test.ts
@@ -130,7 +130,7 @@
   const [, run] = startAll(state);
   const task = job.occurrences.get(0)![0]!.tasks[0]!;
   Object.assign(task, { done: true, failures: 1, checkpoint: 'c1', runs: [] });
-  const record = JSON.parse(JSON.stringify(encodeProgress(job, 5))) as JobRecord;
+  const record = JSON.parse(JSON.stringify(encodeProgress(job))) as JobRecord;
 
   const successor = makeCellState();
   const restored = addJob(successor, accepted, 0);
