Expect the error code of a refused connection in the stand-ins' test

Ruled out: a fault of the exchange; the code is what the calls to the platform decide by (ECONNREFUSED: nothing listens). The test is stricter: it now also pins the code.

--- a/src/standins/services_test.ts
+++ b/src/standins/services_test.ts
@@ -59,6 +59,7 @@
   assert.equal(await post('/fence', { owner: 'm1', epoch: 2 }), {
     sent: false,
     message: `connect ECONNREFUSED ${address}:${port}`,
+    code: 'ECONNREFUSED',
   });
   await clock.sleep(150);
   assert.is(await post('/fence', { owner: 'm1', epoch: 2 }), 200);
