Hand jobs, state questions and cancellations to the scheduler in batches

Change: the scheduler stores jobs within its own transactions and tells stored states from memory; entry processes write rows only while no scheduler answers. A process that the store turns away serves through the scheduler. Ruled out: showing a state before it is stored (a successor could show less).

--- a/src/cell/_job_rows.ts
+++ b/src/cell/_job_rows.ts
@@ -9,7 +9,7 @@
 import { addJob, restoreProgress, runsOf } from '../scheduler/mod.ts';
 import type { JobRecord } from '../scheduler/mod.ts';
 import type { Ends } from './_ends.ts';
-import { cancelledJob, jobsTable, progressPart, progressTable } from './rows.ts';
+import { acceptedTable, cancelledJob, jobsTable, progressTable, schedulerPart } from './rows.ts';
 import type { Term } from './_term_state.ts';
 
 /**
@@ -31,37 +31,56 @@
   });
 }
 
+/** Reads the jobs that the scheduler and its predecessors have accepted themselves. */
+export function readAccepted(store: Store): Outcome<StoreView> {
+  return store.read({ table: acceptedTable, part: schedulerPart });
+}
+
 /** Reads the progress of all jobs of the cell. */
 export function readProgress(store: Store): Outcome<StoreView> {
-  return store.read({ table: progressTable, part: progressPart });
+  return store.read({ table: progressTable, part: schedulerPart });
 }
 
-function takeAccepted(term: Term, row: StoredRow): void {
-  if (row.deleted || cancelledJob(row.key) !== undefined || term.state.jobs.has(row.key)) return;
-  const { clock, log } = term;
+function takeAccepted(term: Term, row: StoredRow, hasEntryRows: boolean): void {
+  if (row.deleted || cancelledJob(row.key) !== undefined) return;
+  const { clock, log, state } = term;
+  const known = state.jobs.get(row.key);
+  if (known) {
+    known.hasEntryRows ||= hasEntryRows;
+    return;
+  }
   const accepted = JSON.parse(row.value) as AcceptedJob;
   const ageMs = Math.max(0, clock.wall() - accepted.acceptedAtMs);
-  addJob(term.state, accepted, clock.now() - ageMs);
+  addJob(state, accepted, clock.now() - ageMs).hasEntryRows = hasEntryRows;
   log.info('job found', { event: 'job-found', id: row.key, version: row.version });
 }
 
-/** Takes accepted jobs that are new, in the order in which they were stored. */
-export function takeAcceptedJobs(term: Term, rows: StoredRow[]): void {
-  [...rows].sort((a, b) => a.version - b.version).forEach((row) => takeAccepted(term, row));
+/**
+ * Takes jobs that are new, in the order in which they were stored; `hasEntryRows` tells that entry
+ * processes have stored them.
+ */
+export function takeAcceptedJobs(term: Term, rows: StoredRow[], hasEntryRows: boolean): void {
+  [...rows]
+    .sort((a, b) => a.version - b.version)
+    .forEach((row) => takeAccepted(term, row, hasEntryRows));
 }
 
 /** Cancels the jobs that rows ask to cancel. */
-export function takeCancellations(ends: Ends, rows: StoredRow[]): void {
+export function takeCancellations(term: Term, ends: Ends, rows: StoredRow[]): void {
   rows
     .filter(({ deleted }) => !deleted)
     .flatMap(({ key }) => cancelledJob(key) ?? [])
-    .forEach((id) => ends.cancel(id));
+    .forEach((id) => {
+      const job = term.state.jobs.get(id);
+      if (job) job.hasEntryRows = true;
+      ends.cancel(id);
+    });
 }
 
 /** Takes jobs and cancellations that are new or have been read anew. */
 export function takeJobRows(term: Term, ends: Ends, rows: StoredRow[]): void {
-  takeAcceptedJobs(term, rows);
-  takeCancellations(ends, rows);
+  takeAcceptedJobs(term, rows, true);
+  takeCancellations(term, ends, rows);
   term.schedulePass();
 }
 
--- a/src/cell/_retention.ts
+++ b/src/cell/_retention.ts
@@ -5,7 +5,7 @@
  */
 import { logFailure } from '../logs/mod.ts';
 import type { Job } from '../scheduler/mod.ts';
-import { cancellationRow, jobRow, progressRow } from './rows.ts';
+import { acceptedRow, cancellationRow, jobRow, progressRow } from './rows.ts';
 import type { Term } from './_term_state.ts';
 
 /** Deletes old jobs. */
@@ -27,15 +27,17 @@
   const { state, store, clock, log, journal } = term;
   const underWay = new Set<string>();
 
-  async function forget({ accepted: { id } }: Job): Promise<void> {
+  async function deleteEntryRows(id: string): Promise<boolean> {
+    const deletes = [jobRow(id), cancellationRow(id)];
+    return (await store.transact({ expected: [], writes: [], deletes })).isRight();
+  }
+
+  async function forget({ accepted: { id }, hasEntryRows }: Job): Promise<void> {
     underWay.add(id);
-    const deleted = await store.transact({
-      expected: [],
-      writes: [],
-      deletes: [jobRow(id), cancellationRow(id)],
-    });
+    const isDeleted = !hasEntryRows || (await deleteEntryRows(id));
     underWay.delete(id);
-    if (deleted.isLeft()) return;
+    if (!isDeleted) return;
+    journal.mark(acceptedRow(id), () => undefined);
     journal.mark(progressRow(id), () => undefined);
     state.jobs.delete(id);
   }
--- a/src/cell/journal.ts
+++ b/src/cell/journal.ts
@@ -17,13 +17,15 @@
 /** The lane. */
 export interface Journal {
   /** Marks a row as changed; its content is taken when the transaction is built. */
-  mark(row: RowKey, source: RowSource): void;
+  mark(row: RowKey, source: RowSource, onStored?: () => void): void;
   /** Resolves with true once everything marked so far is stored, with false once deposed. */
   flush(): Promise<boolean>;
   /** Time that a transaction takes at present, in milliseconds. */
   latencyMs(): number;
   /** Monotonic time of the last transaction that took effect. */
   confirmedAtMs(): number;
+  /** Time for which the transaction under way has gone without success; 0 when there is none. */
+  waitingMs(): number;
   close(): void;
 }
 
@@ -58,6 +60,13 @@
   row: RowKey;
   source: RowSource;
   generation: number;
+  onStored?: (() => void) | undefined;
+}
+
+interface Batch {
+  change: StoreChange;
+  value: string;
+  onStored: (() => void)[];
 }
 
 function nameOf({ table, part, key }: RowKey): string {
@@ -82,6 +91,7 @@
   let isClosed = false;
   let latencyMs = initialLatencyMs;
   let confirmedAtMs = clock.now();
+  let pendingSinceMs: number | undefined;
 
   function settleWaiters(): void {
     const oldest = Math.min(Infinity, ...[...dirty.values()].map((entry) => entry.generation));
@@ -96,7 +106,7 @@
     waiters = [];
   }
 
-  function takeBatch(): { change: StoreChange; value: string } {
+  function takeBatch(): Batch {
     count += 1;
     const value = `${author}.${count}`;
     const change: StoreChange = {
@@ -104,6 +114,7 @@
       writes: [{ ...sequenceRow, value }],
       deletes: [],
     };
+    const onStored: (() => void)[] = [];
     let rows = 0;
     let bytes = 0;
     for (const [name, entry] of dirty) {
@@ -114,8 +125,9 @@
       if (text === undefined) change.deletes.push(entry.row);
       else change.writes.push({ ...entry.row, value: text });
       bytes += text?.length ?? 0;
+      if (entry.onStored) onStored.push(entry.onStored);
     }
-    return { change, value };
+    return { change, value, onStored };
   }
 
   /** Whether a conflict shows that the transaction had taken effect; undefined when deposed. */
@@ -151,11 +163,14 @@
   }
 
   async function writeBatch(): Promise<void> {
-    const { change, value } = takeBatch();
+    const { change, value, onStored } = takeBatch();
+    pendingSinceMs = clock.now();
     while (!isClosed) {
       const outcome = await send(change, value);
       if (outcome === 'stored') {
         confirmedAtMs = clock.now();
+        pendingSinceMs = undefined;
+        onStored.forEach((notify) => notify());
         return;
       }
       if (outcome === undefined) {
@@ -182,13 +197,18 @@
   }
 
   return {
-    mark(row, source) {
+    mark(row, source, onStored) {
       if (isClosed) return;
       generation += 1;
       const name = nameOf(row);
       // A row that waits keeps its place: others wait for what was marked first.
       const waiting = dirty.get(name);
-      dirty.set(name, { row, source, generation: waiting?.generation ?? generation });
+      dirty.set(name, {
+        row,
+        source,
+        onStored,
+        generation: waiting?.generation ?? generation,
+      });
       run().catch(logFailure(log, 'the journal'));
     },
     flush() {
@@ -200,6 +220,7 @@
     },
     latencyMs: () => latencyMs,
     confirmedAtMs: () => confirmedAtMs,
+    waitingMs: () => (pendingSinceMs === undefined ? 0 : clock.now() - pendingSinceMs),
     close,
   };
 }
--- a/src/cell/mod.ts
+++ b/src/cell/mod.ts
@@ -6,6 +6,7 @@
 export * from './follower.ts';
 export * from './leadership.ts';
 export * from './members.ts';
+export * from './service.ts';
 export * from './term.ts';
 export type { TermOptions, Wishes } from './_term_state.ts';
-export { cancellationRow, jobRow, progressRow } from './rows.ts';
+export { acceptedRow, cancellationRow, jobRow, progressRow } from './rows.ts';
--- a/src/cell/rows.ts
+++ b/src/cell/rows.ts
@@ -1,8 +1,8 @@
 /**
  * Where the rows of a cell lie.
  *
- * Accepted jobs are spread over parts by id, since every entry process writes them; the rows that
- * only the cell's scheduler writes share one part, so that they change together with its sequence.
+ * The rows that only the cell's scheduler writes share one part, so that they change together with its
+ * sequence. What entry processes write while no scheduler answers is spread over parts by id.
  */
 import type { RowKey } from '../model/mod.ts';
 
@@ -11,7 +11,10 @@
 const suffixDigits = 2;
 const cellPart = 'c0';
 
-/** Table of accepted jobs and of requests to cancel them. */
+/** Table of the jobs that the scheduler has accepted. */
+export const acceptedTable = 'accepted';
+
+/** Table of jobs and requests to cancel that entry processes store without the scheduler. */
 export const jobsTable = 'jobs';
 
 /** Table of the progress of jobs. */
@@ -29,13 +32,18 @@
 /** The row that every transaction of the scheduler replaces. */
 export const sequenceRow: RowKey = { table: 'sequence', part: cellPart, key: 'sequence' };
 
+/** The row of a job that the scheduler has accepted. */
+export function acceptedRow(id: string): RowKey {
+  return { table: acceptedTable, part: cellPart, key: id };
+}
+
 const cancellationSuffix = '/cancelled';
 
 function jobPart(id: string): string {
   return `j${parseInt(id.slice(-suffixDigits), hexadecimal) % jobParts}`;
 }
 
-/** The row of an accepted job. */
+/** The row of a job that an entry process has accepted without the scheduler. */
 export function jobRow(id: string): RowKey {
   return { table: jobsTable, part: jobPart(id), key: id };
 }
@@ -55,5 +63,5 @@
   return { table: progressTable, part: cellPart, key: id };
 }
 
-/** The part in which the progress of all jobs of the cell lies. */
-export const progressPart = cellPart;
+/** The part in which all rows lie that the scheduler of the cell writes. */
+export const schedulerPart = cellPart;
--- /dev/null
+++ b/src/cell/service.ts
@@ -0,0 +1,92 @@
+/**
+ * What the scheduler of a cell does for the entry processes: it takes jobs and cancellations into its
+ * own transactions, and tells the stored state of a job without a reading of the store.
+ *
+ * Load answered: hundreds of calls a second. Jobs that arrive together are stored by one transaction,
+ * together with the starts that are decided meanwhile.
+ */
+import type { AcceptedJob, JobState } from '../model/mod.ts';
+import { addJob } from '../scheduler/mod.ts';
+import type { Ends } from './_ends.ts';
+import type { Term } from './_term_state.ts';
+import { acceptedRow } from './rows.ts';
+
+/** What became of a job that was handed to the scheduler. */
+export const Submission = {
+  Stored: 'stored',
+  /** There is no room for it; nothing was written. */
+  Overloaded: 'overloaded',
+  /** There is no scheduler that could take it; nothing was written. */
+  NotTaken: 'not-taken',
+  /** It may have been stored. */
+  Unknown: 'unknown',
+} as const;
+
+/** One of the values of {@link Submission}. */
+export type Submission = (typeof Submission)[keyof typeof Submission];
+
+/** The acts of the scheduler for the entry processes. */
+export interface CellService {
+  submit(job: AcceptedJob): Promise<Submission>;
+  /** The stored state of a job; undefined when the scheduler does not know the job. */
+  stateOf(jobId: string): JobState | undefined;
+  /** Cancels a job; false when it does not know the job or the cancellation may not be stored. */
+  cancel(jobId: string): Promise<boolean>;
+}
+
+/** What the service asks other parts of the term. */
+export interface CellServiceOptions {
+  isLoaded(): boolean;
+  isOverloaded(job: AcceptedJob): boolean;
+}
+
+/** Without a transaction for so long, the store is taken to turn this process away. */
+const storeTimeoutMs = 700;
+
+/**
+ * Makes the service of a term.
+ *
+ * @example
+ * const outcome = await service.submit(job);
+ */
+export function makeCellService(
+  term: Term,
+  ends: Ends,
+  { isLoaded, isOverloaded }: CellServiceOptions,
+): CellService {
+  const { state, clock, log, journal } = term;
+
+  const isCurrent = () => isLoaded() && !term.over.aborted;
+
+  function mayWrite(): boolean {
+    return isCurrent() && journal.waitingMs() < storeTimeoutMs;
+  }
+
+  /** Whether all that was decided so far is stored; gives up when the store does not answer. */
+  function isStored(): Promise<boolean> {
+    return Promise.race([journal.flush(), clock.sleep(storeTimeoutMs).then(() => false)]);
+  }
+
+  return {
+    async submit(job) {
+      if (!mayWrite()) return Submission.NotTaken;
+      if (!state.jobs.has(job.id)) {
+        if (isOverloaded(job)) return Submission.Overloaded;
+        const ageMs = Math.max(0, clock.wall() - job.acceptedAtMs);
+        addJob(state, job, clock.now() - ageMs);
+        journal.mark(acceptedRow(job.id), () => JSON.stringify(job));
+        log.info('job taken', { event: 'job-taken', id: job.id, queue: job.queue });
+        term.schedulePass();
+      }
+      return (await isStored()) ? Submission.Stored : Submission.Unknown;
+    },
+
+    stateOf: (jobId) => (isCurrent() ? state.jobs.get(jobId)?.storedState : undefined),
+
+    async cancel(jobId) {
+      if (!mayWrite() || !state.jobs.has(jobId)) return false;
+      ends.cancel(jobId);
+      return isStored();
+    },
+  };
+}
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -17,10 +17,12 @@
   pressureOf,
   taskName,
 } from '../scheduler/mod.ts';
+import type { Pressure } from '../scheduler/mod.ts';
 import { makeEnds } from './_ends.ts';
 import { makeFleet } from './_fleet.ts';
 import type { Fleet } from './_fleet.ts';
 import {
+  readAccepted,
   readJobs,
   readProgress,
   stopLeftOvers,
@@ -39,11 +41,14 @@
 import { makeFollower } from './follower.ts';
 import { makeJournal } from './journal.ts';
 import type { Journal } from './journal.ts';
+import { makeCellService } from './service.ts';
+import type { CellService } from './service.ts';
 import { clockSlowness } from './worker_link.ts';
 import { heartbeatRow, jobsTable, progressRow, sequenceRow } from './rows.ts';
 
 /** The term of a scheduler. */
 export interface SchedulerTerm {
+  service: CellService;
   /** Serves until the term ends. */
   run(): Promise<void>;
   /** Ends the term: sends no more orders. */
@@ -58,6 +63,7 @@
 }
 
 const heartbeatMs = 400;
+const pressureEveryMs = 100;
 const tickMs = 100;
 const reportMs = 1_000;
 const readRetryMs = 100;
@@ -108,8 +114,19 @@
       options.maxLeaseMs * clockSlowness +
       (options.predecessorMayAct ? renewWithoutStoreMs : 0),
     journal: parts.journal,
-    markJob: (job) =>
-      parts.journal.mark(progressRow(job.accepted.id), () => JSON.stringify(encodeProgress(job))),
+    markJob(job) {
+      let { storedState } = job;
+      parts.journal.mark(
+        progressRow(job.accepted.id),
+        () => {
+          storedState = job.state;
+          return JSON.stringify(encodeProgress(job));
+        },
+        () => {
+          job.storedState = storedState;
+        },
+      );
+    },
     schedulePass: () => parts.passes.schedule(),
     end,
   };
@@ -158,21 +175,43 @@
   }
 
   let isLoaded = false;
+  let pressure: Pressure = { busyQueues: [], beyondShare: [] };
+  let pressureAtMs = -Infinity;
+
+  /** What is to be refused at present, as far as it is known. */
+  function currentPressure(): Pressure {
+    const current = options.wishes();
+    if (current && clock.now() - pressureAtMs >= pressureEveryMs) {
+      pressureAtMs = clock.now();
+      pressure = pressureOf(state, current.configuration, pressureAtMs);
+    }
+    return pressure;
+  }
+
+  const service = makeCellService(term, ends, {
+    isLoaded: () => isLoaded,
+    isOverloaded({ queue, organisation }) {
+      const { busyQueues, beyondShare } = currentPressure();
+      return busyQueues.includes(queue) && beyondShare.includes(organisation);
+    },
+  });
   const readRegistry = () => store.read({ table: options.registryTable, part: '' });
 
   /** Reads what predecessors have left; nothing is decided before. */
   async function load(): Promise<void> {
-    const [progress, jobs, registry] = await Promise.all([
+    const [progress, accepted, jobs, registry] = await Promise.all([
       readUntilRead(() => readProgress(store)),
+      readUntilRead(() => readAccepted(store)),
       readUntilRead(() => readJobs(store)),
       readUntilRead(readRegistry),
     ]);
     if (over.signal.aborted) return;
-    takeAcceptedJobs(term, jobs.rows);
+    takeAcceptedJobs(term, accepted.rows, false);
+    takeAcceptedJobs(term, jobs.rows, true);
     fleet.addEntries(registry.rows);
     takeProgress(term, progress.rows);
     fleet.linkAll();
-    takeCancellations(ends, jobs.rows);
+    takeCancellations(term, ends, jobs.rows);
     stopLeftOvers(term, ends);
     isLoaded = true;
     log.info('the cell is loaded', {
@@ -215,11 +254,9 @@
   }
 
   function heartbeatText(): string {
-    const wishes = options.wishes();
-    const pressure = wishes && pressureOf(state, wishes.configuration, clock.now());
     // Before the jobs are loaded nothing is known of how many wait.
     const pending = isLoaded ? Object.fromEntries(countPending(state)) : undefined;
-    return JSON.stringify({ epoch: claim.epoch, pending, ...pressure });
+    return JSON.stringify({ epoch: claim.epoch, pending, ...currentPressure() });
   }
 
   async function beat(): Promise<void> {
@@ -230,6 +267,7 @@
   }
 
   return {
+    service,
     stop: () => end('resigned'),
     async run() {
       const beating = beat();
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -1,14 +1,15 @@
 /**
  * Answers clients: accepts jobs, cancels them, shows their state and counts those that wait.
  *
- * A job is accepted by storing its row; the scheduler of the cell finds it there. A call for which the
- * store turns this process away is relayed, whole, to another entry process.
+ * A job is handed to the scheduler of the cell, which stores it. While no scheduler answers, the job's
+ * row is stored from here, and the next scheduler finds it there. A call that neither can serve is
+ * relayed, whole, to another entry process.
  */
 import { Left, Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
 import type { Clock } from '../clock/mod.ts';
-import { cancellationRow, jobRow, progressRow } from '../cell/mod.ts';
+import { acceptedRow, cancellationRow, jobRow, progressRow, Submission } from '../cell/mod.ts';
 import { failure, Kind } from '../errors/mod.ts';
 import type { Failure, Outcome } from '../errors/mod.ts';
 import type { Log } from '../logs/mod.ts';
@@ -18,9 +19,18 @@
 import type { ClientAnswer, ClientCall, Relay } from './_answers.ts';
 import type { RouteTable } from './routes.ts';
 
+/** The scheduler of the cell, as the front end uses it. */
+export interface CellAccess {
+  submit(job: AcceptedJob): Promise<Submission>;
+  stateOf(jobId: string): Promise<JobState | undefined>;
+  cancel(jobId: string): Promise<boolean>;
+}
+
 /** What the front end uses. */
 export interface FrontOptions {
   store: Store;
+  /** The scheduler of the cell. */
+  cell: CellAccess;
   clock: Clock;
   log: Log;
   /** The routes in force; undefined when they are unknown or may be out of date. */
@@ -44,6 +54,10 @@
   answer(call: ClientCall): Promise<ClientAnswer>;
 }
 
+function storeIsDown(): Failure {
+  return failure(Kind.TableUnavailable, 'the store does not answer');
+}
+
 /** A call whose queue and organisation are known. */
 interface RoutedCall extends ClientCall {
   queue: Queue;
@@ -58,7 +72,7 @@
  * const { status } = await front.answer(call);
  */
 export function makeFront(options: FrontOptions): Front {
-  const { store, clock, log, routes, relay } = options;
+  const { store, cell, clock, log, routes, relay } = options;
 
   function passOn(call: ClientCall, problem: Failure): Promise<ClientAnswer> {
     return passOnTo(call, problem, relay);
@@ -84,13 +98,23 @@
     };
   }
 
+  /** Whether a job is stored, by the scheduler or by an entry process. */
+  async function isKnown(jobId: string): Outcome<boolean> {
+    const accepted = await store.read(acceptedRow(jobId));
+    if (accepted.map(({ rows }) => rows.length > 0).orDefault(true)) {
+      return accepted.map(() => true);
+    }
+    const stored = await store.read(jobRow(jobId));
+    return stored.map(({ rows }) => rows.length > 0);
+  }
+
   /** Refuses a job, unless an earlier call with its id was accepted without the client hearing so. */
   async function refuseForLoad(call: RoutedCall): Promise<ClientAnswer> {
-    const known = await store.read(jobRow(call.jobId));
+    const known = await isKnown(call.jobId);
     return known.caseOf<ClientAnswer | Promise<ClientAnswer>>({
       Left: (problem) => passOn(call, problem),
-      Right: ({ rows }) => {
-        if (rows.length > 0) return success();
+      Right: (isStored) => {
+        if (isStored) return success();
         log.info('job refused', {
           event: 'job-refused',
           id: call.jobId,
@@ -111,23 +135,45 @@
       return errorAnswer(400, problem.message);
     }
     const spec = decoded.extract() as JobSpec;
+    const job = acceptedJob(call, spec);
+    const outcome = await cell.submit(job);
+    if (outcome === Submission.Stored) return acceptedBy(call, 'the scheduler');
+    if (outcome === Submission.Overloaded) return refuseForLoad(call);
+    return storeJob(call, job, outcome === Submission.Unknown);
+  }
+
+  function acceptedBy(call: RoutedCall, storedBy: string): ClientAnswer {
+    log.info('job accepted', {
+      event: 'job-accepted',
+      id: call.jobId,
+      queue: call.queue.name,
+      organisation: call.organisation,
+      storedBy,
+    });
+    return success();
+  }
+
+  /** Stores a job without the scheduler; `mayBeStored` tells that the scheduler may have done so. */
+  async function storeJob(
+    call: RoutedCall,
+    job: AcceptedJob,
+    mayBeStored: boolean,
+  ): Promise<ClientAnswer> {
+    if (options.isStoreDown()) {
+      const kind = mayBeStored ? Kind.TableUnknown : Kind.TableUnavailable;
+      return passOn(call, failure(kind, 'neither the scheduler nor the store answers'));
+    }
+    if (!mayBeStored && options.isOverloaded(call.queue.name, call.organisation)) {
+      return refuseForLoad(call);
+    }
     const row = jobRow(call.jobId);
-    if (options.isOverloaded(call.queue.name, call.organisation)) return refuseForLoad(call);
     const stored = await store.transact({
       expected: [{ ...row, version: 0 }],
-      writes: [{ ...row, value: JSON.stringify(acceptedJob(call, spec)) }],
+      writes: [{ ...row, value: JSON.stringify(job) }],
       deletes: [],
     });
     return stored.caseOf<ClientAnswer | Promise<ClientAnswer>>({
-      Right: () => {
-        log.info('job accepted', {
-          event: 'job-accepted',
-          id: call.jobId,
-          queue: call.queue.name,
-          organisation: call.organisation,
-        });
-        return success();
-      },
+      Right: () => acceptedBy(call, 'this process'),
       Left: (problem) => {
         // The row exists: the job was accepted before.
         if (problem.kind === Kind.TableConflict) return success();
@@ -137,7 +183,7 @@
           kind: problem.kind,
           reason: problem.got,
         });
-        return passOn(call, problem);
+        return passOn(call, mayBeStored ? { ...problem, kind: Kind.TableUnknown } : problem);
       },
     });
   }
@@ -148,11 +194,14 @@
     if (progress.isLeft()) return progress;
     const [row] = progress.orDefault({ rows: [], version: 0 }).rows;
     if (row) return Right((JSON.parse(row.value) as { state: JobState }).state);
-    const job = await store.read(jobRow(jobId));
-    return job.map(({ rows }) => (rows.length > 0 ? JobState.Queued : undefined));
+    const known = await isKnown(jobId);
+    return known.map((isStored) => (isStored ? JobState.Queued : undefined));
   }
 
   async function show(call: RoutedCall): Promise<ClientAnswer> {
+    const told = await cell.stateOf(call.jobId);
+    if (told !== undefined) return success(options.encodeState(told));
+    if (options.isStoreDown()) return passOn(call, storeIsDown());
     const result = await readState(call.jobId);
     return result.caseOf<ClientAnswer | Promise<ClientAnswer>>({
       Left: (problem) => passOn(call, problem),
@@ -163,24 +212,26 @@
     });
   }
 
+  function cancelled({ jobId }: RoutedCall): ClientAnswer {
+    log.info('cancellation stored', { event: 'cancellation-stored', id: jobId });
+    return success();
+  }
+
   async function cancel(call: RoutedCall): Promise<ClientAnswer> {
-    const known = await store.read(jobRow(call.jobId));
+    if (await cell.cancel(call.jobId)) return cancelled(call);
+    if (options.isStoreDown()) return passOn(call, storeIsDown());
+    const known = await isKnown(call.jobId);
     if (known.isLeft()) {
-      return passOn(call, known.swap().orDefault(failure(Kind.TableUnavailable, '')));
-    }
-    if (known.orDefault({ rows: [], version: 0 }).rows.length === 0) {
-      return errorAnswer(410, 'there is no such job');
+      return passOn(call, known.swap().orDefault(storeIsDown()));
     }
+    if (!known.orDefault(false)) return errorAnswer(410, 'there is no such job');
     const stored = await store.transact({
       expected: [],
       writes: [{ ...cancellationRow(call.jobId), value: '{}' }],
       deletes: [],
     });
     return stored.caseOf<ClientAnswer | Promise<ClientAnswer>>({
-      Right: () => {
-        log.info('cancellation stored', { event: 'cancellation-stored', id: call.jobId });
-        return success();
-      },
+      Right: () => cancelled(call),
       Left: (problem) => passOn(call, problem),
     });
   }
@@ -204,9 +255,6 @@
 
   function serve(call: RoutedCall): Promise<ClientAnswer> {
     const { method, jobId } = call;
-    if (options.isStoreDown() && jobId !== '') {
-      return passOn(call, failure(Kind.TableUnavailable, 'the store does not answer'));
-    }
     if (jobId === '') {
       return method === 'GET'
         ? count(call)
--- a/src/front/front_test.ts
+++ b/src/front/front_test.ts
@@ -2,6 +2,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { Submission } from '../cell/mod.ts';
 import { systemClock } from '../clock/mod.ts';
 import { failure, Kind } from '../errors/mod.ts';
 import { silentLog } from '../logs/mod.ts';
@@ -16,6 +17,13 @@
 
 const id = '00000000000000a1';
 
+/** The front end's view of a cell without a scheduler. */
+const noScheduler: FrontOptions['cell'] = {
+  submit: async () => Submission.NotTaken,
+  stateOf: async () => undefined,
+  cancel: async () => false,
+};
+
 function setUp(options: Partial<FrontOptions> = {}) {
   const store = makeFakeStore();
   const relayed: ClientCall[] = [];
@@ -30,6 +38,7 @@
     pendingIn: () => 3,
     isOverloaded: () => false,
     isStoreDown: () => false,
+    cell: noScheduler,
     async relay(call) {
       relayed.push(call);
       return Left(failure(Kind.PeerUnavailable, 'nobody is there'));
--- /dev/null
+++ b/src/host/batches.ts
@@ -0,0 +1,63 @@
+/**
+ * Collects requests to one other process into batches, so that many requests cost few exchanges.
+ *
+ * Load answered: bursts of calls. While fewer batches are under way than the bound, a request is sent
+ * at once; otherwise it joins the next batch.
+ */
+
+/** Sends requests in batches. */
+export interface Batches<Request, Result> {
+  ask(request: Request): Promise<Result>;
+}
+
+/** How batches are sent. */
+export interface BatchOptions<Request, Result> {
+  /** Sends a batch; the results are in the order of the requests, undefined when there are none. */
+  send(requests: Request[]): Promise<Result[] | undefined>;
+  /** The result of a request whose batch gave none. */
+  otherwise: Result;
+  maxUnderWay: number;
+  maxRequests: number;
+}
+
+interface Waiting<Request, Result> {
+  request: Request;
+  resolve(result: Result): void;
+}
+
+/**
+ * Makes the collector.
+ *
+ * @example
+ * const batches = makeBatches({ send, otherwise: 'unknown', maxUnderWay: 2, maxRequests: 60 });
+ * await batches.ask(job);
+ */
+export function makeBatches<Request, Result>(
+  options: BatchOptions<Request, Result>,
+): Batches<Request, Result> {
+  const { send, otherwise, maxUnderWay, maxRequests } = options;
+  const waiting: Waiting<Request, Result>[] = [];
+  let underWay = 0;
+
+  async function sendBatch(): Promise<void> {
+    const batch = waiting.splice(0, maxRequests);
+    underWay += 1;
+    const results = await send(batch.map(({ request }) => request));
+    underWay -= 1;
+    batch.forEach(({ resolve }, index) => resolve(results?.[index] ?? otherwise));
+    sendNext();
+  }
+
+  function sendNext(): void {
+    if (waiting.length === 0 || underWay >= maxUnderWay) return;
+    sendBatch().catch(() => undefined);
+  }
+
+  return {
+    ask: (request) =>
+      new Promise((resolve) => {
+        waiting.push({ request, resolve });
+        sendNext();
+      }),
+  };
+}
--- /dev/null
+++ b/src/host/cell_client.ts
@@ -0,0 +1,126 @@
+/**
+ * Calls to the scheduler of the cell, in this process or in another.
+ *
+ * A scheduler that does not answer is left alone for a while; the entry process then goes to the store
+ * by itself.
+ */
+import { Submission } from '../cell/mod.ts';
+import type { CellService, Claim } from '../cell/mod.ts';
+import type { Clock } from '../clock/mod.ts';
+import { Kind } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
+import type { Log } from '../logs/mod.ts';
+import type { AcceptedJob, JobState } from '../model/mod.ts';
+import { makeBatches } from './batches.ts';
+import type { PeerClient } from './peers.ts';
+
+/** The scheduler of the cell, as an entry process calls it. */
+export interface CellClient {
+  submit(job: AcceptedJob): Promise<Submission>;
+  /** The stored state; undefined when the scheduler does not answer or does not know the job. */
+  stateOf(jobId: string): Promise<JobState | undefined>;
+  /** Cancels a job; false when that may not be stored. */
+  cancel(jobId: string): Promise<boolean>;
+}
+
+/** What the client uses. */
+export interface CellClientOptions {
+  clock: Clock;
+  log: Log;
+  peers: PeerClient;
+  /** The service of this process while it is the scheduler. */
+  ownService(): CellService | undefined;
+  /** The claim of the scheduler, if it is another process. */
+  otherScheduler(): Claim | undefined;
+}
+
+const avoidMs = 400;
+const maxRequests = 60;
+const maxBatches = 3;
+
+/**
+ * Makes the client.
+ *
+ * @example
+ * const outcome = await cell.submit(job);
+ */
+export function makeCellClient(options: CellClientOptions): CellClient {
+  const { clock, log, peers, ownService, otherScheduler } = options;
+  let avoided = { instance: '', untilMs: 0 };
+
+  function address(): string | undefined {
+    const claim = otherScheduler();
+    if (!claim) return undefined;
+    const isAvoided = claim.instance === avoided.instance && clock.now() < avoided.untilMs;
+    return isAvoided ? undefined : claim.address;
+  }
+
+  function avoid(problem: Failure): void {
+    const instance = otherScheduler()?.instance ?? '';
+    avoided = { instance, untilMs: clock.now() + avoidMs };
+    log.info('the scheduler does not answer', {
+      event: 'scheduler-silent',
+      instance,
+      reason: problem.got,
+    });
+  }
+
+  async function call<Result>(
+    send: (address: string) => Outcome<Result[]>,
+    failed: (kind: Kind) => Result[] | undefined,
+  ): Promise<Result[] | undefined> {
+    const target = address();
+    if (target === undefined) return failed(Kind.PeerUnavailable);
+    const result = await send(target);
+    return result.caseOf({
+      Left: (problem) => {
+        avoid(problem);
+        return failed(problem.kind);
+      },
+      Right: (answers): Result[] | undefined => answers,
+    });
+  }
+
+  const submissions = makeBatches<AcceptedJob, Submission>({
+    send: (jobs) =>
+      call(
+        (target) => peers.submit(target, jobs),
+        (kind) =>
+          jobs.map(() =>
+            kind === Kind.OutcomeUnknown ? Submission.Unknown : Submission.NotTaken,
+          ),
+      ),
+    otherwise: Submission.Unknown,
+    maxUnderWay: maxBatches,
+    maxRequests,
+  });
+  const states = makeBatches<string, JobState | undefined>({
+    send: (ids) =>
+      call(
+        (target) => peers.states(target, ids),
+        () => undefined,
+      ),
+    otherwise: undefined,
+    maxUnderWay: maxBatches,
+    maxRequests,
+  });
+  const cancellations = makeBatches<string, boolean>({
+    send: (ids) =>
+      call(
+        (target) => peers.cancel(target, ids),
+        () => undefined,
+      ),
+    otherwise: false,
+    maxUnderWay: maxBatches,
+    maxRequests,
+  });
+
+  return {
+    submit: (job) => ownService()?.submit(job) ?? submissions.ask(job),
+    async stateOf(jobId) {
+      const own = ownService();
+      return own ? own.stateOf(jobId) : states.ask(jobId);
+    },
+    cancel: (jobId) => ownService()?.cancel(jobId) ?? cancellations.ask(jobId),
+  };
+}
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -29,6 +29,7 @@
   registryTable,
 } from '../../platform/mod.ts';
 import type { HostSettings } from '../../platform/mod.ts';
+import { makeCellClient } from './cell_client.ts';
 import { makeMembership } from './membership.ts';
 import { makePeerGroup } from './peer_group.ts';
 import { makePeerClient, servePeers } from './peers.ts';
@@ -188,8 +189,21 @@
     return isFresh ? heartbeat : undefined;
   }
 
+  const cell = makeCellClient({
+    clock,
+    log: logs.front,
+    peers,
+    ownService: () => term?.service,
+    otherScheduler() {
+      const claim = leadership.claim();
+      const isOther = claim && claim.instance !== '' && claim.instance !== self.instance;
+      return isOther ? claim : undefined;
+    },
+  });
+
   const front = makeFront({
     store,
+    cell,
     clock,
     log: logs.front,
     routes: currentRoutes,
@@ -259,6 +273,7 @@
             advise,
             relay: front.answer,
             wishes: wishes.message,
+            cell: () => term?.service,
           },
           onError,
         ),
--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -5,6 +5,8 @@
 
 import { isNoAnswer, makeCaller } from '../calls/mod.ts';
 import type { Caller } from '../calls/mod.ts';
+import { Submission } from '../cell/mod.ts';
+import type { CellService } from '../cell/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { Kind, refuse } from '../errors/mod.ts';
 import type { Outcome } from '../errors/mod.ts';
@@ -16,7 +18,7 @@
   HttpRequest,
   HttpServer,
 } from '../front/mod.ts';
-import type { AdviceQuestion, Adviser, Tickets } from '../model/mod.ts';
+import type { AcceptedJob, AdviceQuestion, Adviser, JobState, Tickets } from '../model/mod.ts';
 import type { WishesMessage } from './wishes.ts';
 
 /** What a process does for the others. */
@@ -25,6 +27,8 @@
   advise: Adviser;
   relay(call: ClientCall): Promise<ClientAnswer>;
   wishes(): WishesMessage | undefined;
+  /** The scheduler's service while this process is the scheduler. */
+  cell(): CellService | undefined;
 }
 
 /** Calls to other processes. */
@@ -32,6 +36,12 @@
   advise(address: string, question: AdviceQuestion): Outcome<Tickets>;
   relay(address: string, call: ClientCall): Outcome<ClientAnswer>;
   wishes(address: string): Outcome<WishesMessage>;
+  /** Hands jobs to the scheduler; the results are in their order, and so for the other calls. */
+  submit(address: string, jobs: AcceptedJob[]): Outcome<Submission[]>;
+  /** Asks the scheduler for the stored states of jobs. */
+  states(address: string, ids: string[]): Outcome<(JobState | undefined)[]>;
+  /** Cancels jobs; false where that may not be stored. */
+  cancel(address: string, ids: string[]): Outcome<boolean[]>;
   /** The instance that listens there; a Left with kind `peer-unavailable` and whether it is refused. */
   ping(address: string): Promise<{ instance?: string; isRefused: boolean }>;
 }
@@ -39,6 +49,8 @@
 const connections = 16;
 const relayTimeoutMs = 1_300;
 const wishesTimeoutMs = 500;
+const cellTimeoutMs = 900;
+const statesTimeoutMs = 500;
 const pingTimeoutMs = 500;
 const adviceMarginMs = 200;
 const maxBodyBytes = 1_048_576;
@@ -58,7 +70,30 @@
   service: PeerService,
   onError: (error: unknown) => void,
 ): Promise<HttpServer> {
-  async function handle({ path, body }: HttpRequest): Promise<HttpAnswer> {
+  /** Answers the calls to the scheduler; undefined for other paths. */
+  async function handleCell({ path, body }: HttpRequest): Promise<HttpAnswer | undefined> {
+    const cell = service.cell();
+    if (path === '/submit') {
+      const jobs = JSON.parse(body) as AcceptedJob[];
+      const outcomes = jobs.map((job) => cell?.submit(job) ?? Submission.NotTaken);
+      return json(200, { results: await Promise.all(outcomes) });
+    }
+    if (path === '/states') {
+      const ids = JSON.parse(body) as string[];
+      return json(200, { results: ids.map((id) => cell?.stateOf(id) ?? null) });
+    }
+    if (path === '/cancel') {
+      const ids = JSON.parse(body) as string[];
+      return json(200, { results: await Promise.all(ids.map((id) => cell?.cancel(id) ?? false)) });
+    }
+    return undefined;
+  }
+
+  async function handle(request: HttpRequest): Promise<HttpAnswer> {
+    return (await handleCell(request)) ?? handlePeer(request);
+  }
+
+  async function handlePeer({ path, body }: HttpRequest): Promise<HttpAnswer> {
     if (path === '/ping') return json(200, { instance: service.instance });
     if (path === '/wishes') {
       const message = service.wishes();
@@ -120,7 +155,20 @@
     return Right(answer.body as T);
   }
 
+  async function callCell<T>(
+    address: string,
+    path: string,
+    body: unknown,
+    timeoutMs = cellTimeoutMs,
+  ): Outcome<T[]> {
+    const answer = await call<{ results: T[] }>(address, path, { body, timeoutMs });
+    return answer.map(({ results }) => results);
+  }
+
   return {
+    submit: (address, jobs) => callCell(address, '/submit', jobs),
+    states: (address, ids) => callCell(address, '/states', ids, statesTimeoutMs),
+    cancel: (address, ids) => callCell(address, '/cancel', ids),
     advise: (address, question) =>
       call(address, '/advise', {
         body: question,
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -61,6 +61,8 @@
     accepted,
     acceptedAtMs,
     state: JobState.Queued,
+    storedState: JobState.Queued,
+    hasEntryRows: false,
     chainMs: longestChainMs(accepted.spec.steps),
     occurrences: new Map(),
   };
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -103,6 +103,7 @@
   nowMs: number,
 ): void {
   job.state = record.state;
+  job.storedState = record.state;
   if (isFinal(job.state)) {
     job.endedAtMs = nowMs;
     state.active.delete(job);
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -93,6 +93,10 @@
   /** Monotonic time of acceptance. */
   acceptedAtMs: number;
   state: JobState;
+  /** The state as it was last stored, which is the one that clients are shown. */
+  storedState: JobState;
+  /** An entry process has stored the job, or a request to cancel it, without the scheduler. */
+  hasEntryRows: boolean;
   /** Duration of the longest chain of steps. */
   chainMs: number;
   occurrences: Map<number, Step[]>;
