Write changes for which nobody waits after a short delay, and replace a silent scheduler earlier

Change: ends are stored within 20 ms with others (ends of jobs and starts at once); heartbeat every 650 ms; processes take a scheduler as silent after 0.9 s of unanswered calls, or of its own stalled transaction, and claim after 1.1 s of silence.

--- a/src/cell/_ends.ts
+++ b/src/cell/_ends.ts
@@ -70,6 +70,12 @@
     if (!wasFinal && isFinal(job.state)) logJobEnd(job, nowMs);
     stopRuns(toStop, `follows the end of ${taskName(run)}`);
     term.markJob(job);
+    if (!wasFinal && isFinal(job.state)) storeNow();
+  }
+
+  /** Clients learn of the end of a job once it is stored. */
+  function storeNow(): void {
+    term.journal.flush().catch(logFailure(log, 'the journal'));
   }
 
   return {
@@ -82,6 +88,7 @@
       logJobEnd(job, clock.now());
       stopRuns(runs, 'job cancelled');
       term.markJob(job);
+      storeNow();
     },
 
     stopRuns,
--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -82,7 +82,7 @@
     ends.apply(observation.ends, 'reported');
     observation.strangers.forEach(({ task, attempt }) => stopStranger(worker, task, attempt));
     if (observation.ends.length > 0 || !wasUsable) term.schedulePass();
-    return report.ended.length === 0 || journal.flush();
+    return report.ended.length === 0 || journal.flush({ isUrgent: false });
   }
 
   function linkWorker(worker: Worker): void {
--- a/src/cell/journal.ts
+++ b/src/cell/journal.ts
@@ -16,10 +16,16 @@
 
 /** The lane. */
 export interface Journal {
-  /** Marks a row as changed; its content is taken when the transaction is built. */
+  /**
+   * Marks a row as changed; its content is taken when the transaction is built. The transaction is
+   * sent after a short delay, in which further changes join it, or at once when a flush waits.
+   */
   mark(row: RowKey, source: RowSource, onStored?: () => void): void;
-  /** Resolves with true once everything marked so far is stored, with false once deposed. */
-  flush(): Promise<boolean>;
+  /**
+   * Resolves with true once everything marked so far is stored, with false once deposed. One that is
+   * not urgent waits for the delay of the marks.
+   */
+  flush(options?: { isUrgent?: boolean }): Promise<boolean>;
   /** Time that a transaction takes at present, in milliseconds. */
   latencyMs(): number;
   /** Monotonic time of the last transaction that took effect. */
@@ -44,6 +50,8 @@
 
 const maxRowsPerTransaction = 90;
 const maxBytesPerTransaction = 700_000;
+/** Changes for which nobody waits are written together after this delay. */
+const lazyDelayMs = 20;
 const retryMs = 60;
 const latencyWeight = 0.2;
 const initialLatencyMs = 12;
@@ -53,6 +61,7 @@
 
 interface Waiter {
   generation: number;
+  isUrgent: boolean;
   resolve(isStored: boolean): void;
 }
 
@@ -89,6 +98,7 @@
   let waiters: Waiter[] = [];
   let isRunning = false;
   let isClosed = false;
+  let lazyTimer: NodeJS.Timeout | undefined;
   let latencyMs = initialLatencyMs;
   let confirmedAtMs = clock.now();
   let pendingSinceMs: number | undefined;
@@ -102,6 +112,7 @@
 
   function close(): void {
     isClosed = true;
+    clearTimeout(lazyTimer);
     waiters.forEach(({ resolve }) => resolve(false));
     waiters = [];
   }
@@ -185,15 +196,30 @@
   }
 
   async function run(): Promise<void> {
-    if (isRunning) return;
+    if (isRunning || isClosed || dirty.size === 0) return;
     isRunning = true;
     // Rows marked in the same turn belong to one transaction.
     await undefined;
-    while (dirty.size > 0 && !isClosed) {
+    do {
       await writeBatch();
       if (!isClosed) settleWaiters();
-    }
+    } while (isUrgent() && !isClosed);
     isRunning = false;
+    if (dirty.size > 0) startLater();
+  }
+
+  function isUrgent(): boolean {
+    return dirty.size > 0 && waiters.some((waiter) => waiter.isUrgent);
+  }
+
+  function start(): void {
+    clearTimeout(lazyTimer);
+    lazyTimer = undefined;
+    run().catch(logFailure(log, 'the journal'));
+  }
+
+  function startLater(): void {
+    if (!isClosed) lazyTimer ??= setTimeout(start, lazyDelayMs);
   }
 
   return {
@@ -209,13 +235,14 @@
         onStored,
         generation: waiting?.generation ?? generation,
       });
-      run().catch(logFailure(log, 'the journal'));
+      if (!isRunning) startLater();
     },
-    flush() {
+    flush({ isUrgent: isUrgentFlush = true } = {}) {
       if (isClosed) return Promise.resolve(false);
       if (dirty.size === 0 && !isRunning) return Promise.resolve(true);
       return new Promise((resolve) => {
-        waiters.push({ generation, resolve });
+        waiters.push({ generation, resolve, isUrgent: isUrgentFlush });
+        if (isUrgentFlush) start();
       });
     },
     latencyMs: () => latencyMs,
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -48,6 +48,8 @@
   heartbeat(): Heartbeat | undefined;
   /** Tells that the host of the present scheduler rejects connections. */
   reportRejected(instance: string): void;
+  /** Tells that a scheduler does not answer calls, or answers that the store does not answer it. */
+  reportSilent(instance: string): void;
   /** Gives the claim back, if this process holds it. */
   resign(timeoutMs: number): Promise<void>;
 }
@@ -67,7 +69,9 @@
   onOther(claim: Claim): void;
 }
 
-const heartbeatTimeoutMs = 1_500;
+const heartbeatTimeoutMs = 2_000;
+/** Bound on the heartbeat of a scheduler that other calls find silent or without the store. */
+const silentHeartbeatTimeoutMs = 1_100;
 const checkMs = 60;
 const ownViewTimeoutMs = 900;
 const claimJitterMs = 60;
@@ -90,6 +94,7 @@
   /** Monotonic time of the last sign of the present scheduler. */
   let signAtMs = clock.now();
   let rejectedInstance: string | undefined;
+  let silentInstance: string | undefined;
   let wonEpoch = 0;
 
   function takeClaim(row: StoredRow): void {
@@ -112,6 +117,7 @@
       beyondShare = [],
     } = JSON.parse(row.value) as Partial<Heartbeat> & Pick<Heartbeat, 'epoch'>;
     heartbeat = { epoch, pending, busyQueues, beyondShare, seenAtMs: clock.now() };
+    silentInstance = undefined;
     signAtMs = clock.now();
   }
 
@@ -134,7 +140,9 @@
     if (claim.instance === '') return 'the scheduler has resigned';
     if (claim.name === self.name) return 'the scheduler was an earlier start of this process';
     if (claim.instance === rejectedInstance) return 'the host of the scheduler rejects connections';
-    if (nowMs - signAtMs > heartbeatTimeoutMs) return heartbeatStopped;
+    const isSilent = claim.instance === silentInstance;
+    const timeoutMs = isSilent ? silentHeartbeatTimeoutMs : heartbeatTimeoutMs;
+    if (nowMs - signAtMs > timeoutMs) return heartbeatStopped;
     return undefined;
   }
 
@@ -188,6 +196,9 @@
     reportRejected(instance) {
       rejectedInstance = instance;
     },
+    reportSilent(instance) {
+      silentInstance = instance;
+    },
     async resign(timeoutMs) {
       if (claim?.instance !== self.instance) return;
       const resigned: Claim = { ...claim, instance: '' };
--- a/src/cell/service.ts
+++ b/src/cell/service.ts
@@ -32,6 +32,8 @@
   stateOf(jobId: string): JobState | undefined;
   /** Cancels a job; false when it does not know the job or the cancellation may not be stored. */
   cancel(jobId: string): Promise<boolean>;
+  /** Time for which the transaction under way has gone without success; 0 when there is none. */
+  storeWaitMs(): number;
 }
 
 /** What the service asks other parts of the term. */
@@ -88,5 +90,7 @@
       ends.cancel(jobId);
       return isStored();
     },
+
+    storeWaitMs: journal.waitingMs,
   };
 }
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -62,14 +62,14 @@
   passes: Passes;
 }
 
-const heartbeatMs = 400;
+const heartbeatMs = 650;
 const pressureEveryMs = 100;
 const tickMs = 100;
 const reportMs = 1_000;
 const readRetryMs = 100;
 const avoidUnhealthyMs = 1_500;
 const jobsPauseMs = 6;
-const registryPauseMs = 150;
+const registryPauseMs = 300;
 
 /**
  * Makes the term of a scheduler that has won its claim.
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -58,6 +58,8 @@
 
 const readinessMaxBodyBytes = 1_024;
 const pingEveryMs = 250;
+/** A scheduler without an answer, or without the store, for so long is replaced early. */
+const schedulerTroubleMs = 900;
 const heartbeatAgeLimitMs = 1_900;
 const freshnessMarginMs = 350;
 const strongProcessors = 2;
@@ -230,13 +232,19 @@
   }
 
   async function watchScheduler(): Promise<void> {
+    let soundAt = { instance: '', atMs: 0 };
     while (!over.signal.aborted) {
       await clock.sleep(pingEveryMs, over.signal);
       const claim = leadership.claim();
       if (!claim || claim.instance === '' || claim.instance === self.instance) continue;
-      const { instance, isRefused } = await peers.ping(claim.address);
+      const { instance, isRefused, storeWaitMs } = await peers.ping(claim.address);
       const isGone = isRefused || (instance !== undefined && instance !== claim.instance);
       if (isGone) leadership.reportRejected(claim.instance);
+      const isSound = instance !== undefined && storeWaitMs < schedulerTroubleMs;
+      if (isSound || soundAt.instance !== claim.instance) {
+        soundAt = { instance: claim.instance, atMs: clock.now() };
+      }
+      if (clock.now() - soundAt.atMs > schedulerTroubleMs) leadership.reportSilent(claim.instance);
     }
   }
 
--- a/src/host/membership.ts
+++ b/src/host/membership.ts
@@ -18,7 +18,7 @@
 const renewMs = 5_000;
 const goneAfterMs = 12_000;
 const retryMs = 500;
-const watchPauseMs = 500;
+const watchPauseMs = 2_000;
 
 /**
  * Makes the list.
--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -31,6 +31,16 @@
   cell(): CellService | undefined;
 }
 
+/** What a process tells of itself, or how it fails to do so. */
+export interface Pong {
+  /** The instance that listens there; undefined without an answer. */
+  instance?: string;
+  /** Nothing listens there. */
+  isRefused: boolean;
+  /** Time for which its transaction under way, as scheduler, has gone without success. */
+  storeWaitMs: number;
+}
+
 /** Calls to other processes. */
 export interface PeerClient {
   advise(address: string, question: AdviceQuestion): Outcome<Tickets>;
@@ -42,8 +52,7 @@
   states(address: string, ids: string[]): Outcome<(JobState | undefined)[]>;
   /** Cancels jobs; false where that may not be stored. */
   cancel(address: string, ids: string[]): Outcome<boolean[]>;
-  /** The instance that listens there; a Left with kind `peer-unavailable` and whether it is refused. */
-  ping(address: string): Promise<{ instance?: string; isRefused: boolean }>;
+  ping(address: string): Promise<Pong>;
 }
 
 const connections = 16;
@@ -94,7 +103,10 @@
   }
 
   async function handlePeer({ path, body }: HttpRequest): Promise<HttpAnswer> {
-    if (path === '/ping') return json(200, { instance: service.instance });
+    if (path === '/ping') return json(200, {
+        instance: service.instance,
+        storeWaitMs: service.cell()?.storeWaitMs() ?? 0,
+      });
     if (path === '/wishes') {
       const message = service.wishes();
       return message ? json(200, message) : json(503, {});
@@ -186,8 +198,13 @@
         path: '/ping',
         timeoutMs: pingTimeoutMs,
       });
-      if (isNoAnswer(answer)) return { isRefused: answer.isRefused };
-      return { instance: String(answer.body.instance), isRefused: false };
+      if (isNoAnswer(answer)) return { isRefused: answer.isRefused, storeWaitMs: 0 };
+      const { instance, storeWaitMs } = answer.body;
+      return {
+        instance: String(instance),
+        isRefused: false,
+        storeWaitMs: Number(storeWaitMs),
+      };
     },
   };
 }
--- a/src/host/wishes.ts
+++ b/src/host/wishes.ts
@@ -38,7 +38,8 @@
   askPeers(): Promise<WishesMessage | undefined>;
 }
 
-const askAfterMs = 900;
+const watchWaitMs = 950;
+const askAfterMs = 1_150;
 const askEveryMs = 200;
 
 /**
@@ -90,6 +91,7 @@
     log,
     table,
     readAll: () => store.read({ table, part: '' }),
+    waitMs: watchWaitMs,
     onRows(rows, isWhole) {
       if (isWhole) evacuated = new Set();
       rows.forEach(takeRow);
