Name only the workers in a call for tickets that probably are needed, and keep calls for work that counts

Change: the share of allowed workers is learned by queue and decides how many are named; at most 0.4 of the hosts make long calls; calls for worthless work leave half of the hosts idle; worthless steps are tried in turn.

--- a/src/cell/_passes.ts
+++ b/src/cell/_passes.ts
@@ -54,7 +54,7 @@
     const nowMs = clock.now();
     const { step, terms } = request;
     const validityMs = answer?.validityMs || terms.advice!.validityMs;
-    takeAdvice(request, answer?.tickets, { validUntilMs: nowMs + validityMs, nowMs });
+    takeAdvice(state, request, answer?.tickets, { validUntilMs: nowMs + validityMs, nowMs });
     log.info('advice', {
       event: 'advice',
       id: step.job.accepted.id,
--- a/src/cell/advice_pool.ts
+++ b/src/cell/advice_pool.ts
@@ -3,7 +3,8 @@
  *
  * The advice service answers one call at a time for each calling host, so a call that waits behind
  * others may as well not have been made: it is made when a host is free for it, and until then the
- * most urgent step may change. Long calls leave a part of the hosts to the short ones.
+ * most urgent step may change. Long calls leave more than half of the hosts to the short ones, of which
+ * there are many more.
  */
 import type { Clock } from '../clock/mod.ts';
 import type { AdviceQuestion, Adviser, Tickets } from '../model/mod.ts';
@@ -19,8 +20,11 @@
 
 /** Calls for tickets. */
 export interface AdvicePool {
-  /** Takes a free place for a call that takes about so long; undefined when there is none. */
-  take(expectedMs: number): AdviceSlot | undefined;
+  /**
+   * Takes a free place for a call that takes about so long; undefined when there is none. A call that
+   * is not urgent gets one only while half of the hosts make no call.
+   */
+  take(expectedMs: number, isUrgent?: boolean): AdviceSlot | undefined;
   /** Makes the call and gives the place back. */
   ask(
     slot: AdviceSlot,
@@ -33,11 +37,15 @@
   shortMs: number;
   /** Long calls under way. */
   long: number;
+  /** All calls under way. */
+  calls: number;
   avoidUntilMs: number;
 }
 
 /** Calls that take longer are long. */
 const longCallMs = 250;
+/** Share of the hosts that may make long calls at a time, rounded up. */
+const longShare = 0.4;
 /** A host gets further short calls while those under way take less time than this. */
 const shortQueueMs = 60;
 const timeoutFactor = 2;
@@ -62,7 +70,7 @@
   function loadOf(host: string): HostLoad {
     let load = loads.get(host);
     if (!load) {
-      load = { shortMs: 0, long: 0, avoidUntilMs: 0 };
+      load = { shortMs: 0, long: 0, calls: 0, avoidUntilMs: 0 };
       loads.set(host, load);
     }
     return load;
@@ -77,7 +85,7 @@
 
   function takeLong(candidates: string[]): string | undefined {
     const inUse = candidates.filter((host) => loadOf(host).long > 0).length;
-    const most = Math.max(1, candidates.length - Math.ceil(candidates.length / 4));
+    const most = Math.ceil(candidates.length * longShare);
     if (inUse >= most) return undefined;
     const free = candidates.filter((host) => loadOf(host).long === 0);
     return free.sort((a, b) => loadOf(a).shortMs - loadOf(b).shortMs)[0];
@@ -90,12 +98,19 @@
     return free.sort((a, b) => loadOf(a).shortMs - loadOf(b).shortMs)[0];
   }
 
+  function isHalfIdle(candidates: string[]): boolean {
+    const idle = candidates.filter((host) => loadOf(host).calls === 0);
+    return idle.length * 2 > candidates.length;
+  }
+
   return {
-    take(expectedMs) {
+    take(expectedMs, isUrgent = true) {
       const isLong = expectedMs >= longCallMs;
       const candidates = soundHosts();
+      if (!isUrgent && !isHalfIdle(candidates)) return undefined;
       const host = isLong ? takeLong(candidates) : takeShort(candidates);
       if (host === undefined) return undefined;
+      loadOf(host).calls += 1;
       if (isLong) loadOf(host).long += 1;
       else loadOf(host).shortMs += expectedMs;
       return { host, expectedMs };
@@ -105,6 +120,7 @@
       const timeoutMs = expectedMs * timeoutFactor + marginMs;
       const result = await askFrom(host, { ...question, timeoutMs });
       const load = loadOf(host);
+      load.calls -= 1;
       if (expectedMs >= longCallMs) load.long -= 1;
       else load.shortMs -= expectedMs;
       return result.caseOf<Tickets | undefined>({
--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -21,7 +21,7 @@
 } from './placement.ts';
 import { dropPlan, holdPlan } from './rooms.ts';
 import { fairShares, leftOfShare } from './shares.ts';
-import { adviceKey, hasTicket, workersNotAsked } from './tickets.ts';
+import { adviceKey, allowedShareOf, hasTicket, workersToAsk } from './tickets.ts';
 import type { AdviceRequest } from './tickets.ts';
 import type { CellState, Job, QueueTerms, Run, Step, Worker } from './state.ts';
 
@@ -58,11 +58,14 @@
   evacuated: ReadonlySet<string>;
   /** Time that passes between a decision and the arrival of its order at the worker. */
   orderDelayMs: number;
-  /** Takes a place for a call for tickets that takes about so long; undefined when there is none. */
-  takeAdviceSlot(expectedMs: number): Slot | undefined;
+  /**
+   * Takes a place for a call for tickets that takes about so long; undefined when there is none. A
+   * call that is not urgent leaves places to others.
+   */
+  takeAdviceSlot(expectedMs: number, isUrgent: boolean): Slot | undefined;
 }
 
-/** Steps without worth that a pass tries to place, those within their share and those beyond. */
+/** Steps without worth that a pass tries to place. */
 const maxTooLateTried = 24;
 
 interface Lookup {
@@ -137,6 +140,8 @@
   usable: Worker[];
   /** Those of them that may run a step, by service and required label; filled when asked for. */
   eligible: Map<string, Worker[]>;
+  /** The steps served now still are worth something. */
+  isUrgent: boolean;
   /** Queues for whose steps there is no further call for tickets in this pass. */
   withoutSlot: Set<string>;
   /** Processor that is each organisation's share of them. */
@@ -147,7 +152,10 @@
 /** Asks for tickets if there is a place for the call; tells whether it did. */
 function ask(pass: Pass, step: Step, workers: Worker[], terms: QueueTerms): boolean {
   const { decisionMs, perWorkerMs } = terms.advice!;
-  const slot = pass.takeAdviceSlot(decisionMs + perWorkerMs * workers.length);
+  const slot = pass.takeAdviceSlot(
+    decisionMs + perWorkerMs * workers.length,
+    pass.isUrgent,
+  );
   if (slot === undefined) {
     pass.decisions.held.adviceSlot += 1;
     pass.withoutSlot.add(step.job.accepted.queue);
@@ -201,7 +209,10 @@
     pass.decisions.held.advicePending += 1;
     return;
   }
-  const unknown = workersNotAsked(step, usable);
+  const unknown = workersToAsk(step, usable, {
+    wanted: left,
+    allowedShare: allowedShareOf(pass.state, step.job.accepted.queue),
+  });
   if (unknown.length > 0) {
     ask(pass, step, unknown, terms);
     return;
@@ -278,14 +289,28 @@
   return undefined;
 }
 
-/** Serves steps in their order; at most so many of those that are not held for a cheap reason. */
-function placeSteps(pass: Pass, steps: Step[], isWithinShare: boolean, most = Infinity): void {
-  let tried = 0;
-  for (const step of steps) {
+function placeSteps(pass: Pass, steps: Step[], isWithinShare: boolean): void {
+  steps.forEach((step) => {
     const reason = placeStep(pass, step, isWithinShare);
     if (reason !== undefined) pass.decisions.held[reason] += 1;
-    if (reason === undefined || reason === HoldReason.Room) tried += 1;
-    if (tried >= most) return;
+  });
+}
+
+/**
+ * Tries to place a few of the steps that can only be late without worth, those first that were not
+ * tried for longest, so that one that nothing can run does not hold back the others.
+ */
+function placeTooLate(pass: Pass, steps: Step[]): void {
+  const inTurn = [...steps].sort((a, b) => a.triedAtMs - b.triedAtMs);
+  let tried = 0;
+  for (const step of inTurn) {
+    const reason = placeStep(pass, step, false);
+    if (reason !== undefined) pass.decisions.held[reason] += 1;
+    if (reason === undefined || reason === HoldReason.Room) {
+      step.triedAtMs = pass.nowMs;
+      tried += 1;
+    }
+    if (tried >= maxTooLateTried) return;
   }
 }
 
@@ -315,6 +340,7 @@
     lookup,
     usable,
     eligible: new Map(),
+    isUrgent: true,
     withoutSlot: new Set(),
     shares: fairShares(state, configuration, usable),
     decisions,
@@ -328,9 +354,13 @@
     .sort((a, b) => compareRanks(a.rank, b.rank));
   Object.values(Urgency).forEach((urgency) => {
     const steps = ranked.filter(({ rank }) => rank.urgency === urgency).map(({ step }) => step);
-    const most = urgency === Urgency.TooLate ? maxTooLateTried : Infinity;
-    placeSteps(pass, steps, true, most);
-    placeSteps(pass, steps, false, most);
+    pass.isUrgent = urgency !== Urgency.TooLate;
+    if (urgency === Urgency.TooLate) {
+      placeTooLate(pass, steps);
+      return;
+    }
+    placeSteps(pass, steps, true);
+    placeSteps(pass, steps, false);
   });
   return decisions;
 }
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -23,6 +23,7 @@
     spec,
     tasks: Array.from({ length: spec.count }, makeTask),
     remaining: spec.count,
+    triedAtMs: -Infinity,
     advice: {
       asked: new Set(),
       allowed: new Set(),
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -58,7 +58,7 @@
 }
 
 /** How many tasks of the step a worker can take now. */
-function placesOn(step: Step, worker: Worker): number {
+export function placesOn(step: Step, worker: Worker): number {
   const { maxPerWorker } = step.spec;
   const byRoom = copiesThatFit(needOf(step), worker.free);
   if (maxPerWorker === 0) return byRoom;
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -82,6 +82,8 @@
   remaining: number;
   advice: StepAdvice;
   plan?: Plan;
+  /** When a pass last tried to place the step although it can only be late without worth. */
+  triedAtMs: number;
 }
 
 /** The figures of a queue that decide about its jobs. */
@@ -135,6 +137,8 @@
   workers: Map<string, Worker>;
   /** What each organisation has running. */
   usage: Map<string, Resources>;
+  /** Share of the workers asked about that may run a step, by queue, as learned from the answers. */
+  allowedShares: Map<string, number>;
 }
 
 /**
@@ -149,6 +153,7 @@
     active: new Set(),
     workers: new Map(),
     usage: new Map(),
+    allowedShares: new Map(),
   };
 }
 
