Tell a slow store from a lost one, let claims outlast it, and say at once that a scheduler is stopping

A scheduler in such a store was taken as cut off after 0.65 s; claims and the resignation timed out (0.9 s, 0.8 s) and queued behind each other. Change: a scheduler counts as cut off only when attempts fail; claims wait 3 s, a resignation 2 s; a stopping process says so when it is pinged; a call to the scheduler waits 1.6 s but ends as soon as pings find the scheduler silent.

--- a/src/cell/journal.ts
+++ b/src/cell/journal.ts
@@ -30,8 +30,11 @@
   latencyMs(): number;
   /** Monotonic time of the last transaction that took effect. */
   confirmedAtMs(): number;
-  /** Time for which the transaction under way has gone without success; 0 when there is none. */
-  waitingMs(): number;
+  /**
+   * Time for which the transaction under way has gone without success although it was sent again; 0
+   * when no attempt has failed, however slow the store is.
+   */
+  failingMs(): number;
   close(): void;
 }
 
@@ -101,7 +104,8 @@
   let lazyTimer: NodeJS.Timeout | undefined;
   let latencyMs = initialLatencyMs;
   let confirmedAtMs = clock.now();
-  let pendingSinceMs: number | undefined;
+  let pendingSinceMs = clock.now();
+  let hasFailed = false;
 
   function settleWaiters(): void {
     const oldest = Math.min(Infinity, ...[...dirty.values()].map((entry) => entry.generation));
@@ -180,7 +184,7 @@
       const outcome = await send(change, value);
       if (outcome === 'stored') {
         confirmedAtMs = clock.now();
-        pendingSinceMs = undefined;
+        hasFailed = false;
         onStored.forEach((notify) => notify());
         return;
       }
@@ -190,6 +194,7 @@
         onDeposed();
         return;
       }
+      hasFailed = true;
       change.expected = [{ ...sequenceRow, version: sequence.version }];
       await clock.sleep(retryMs);
     }
@@ -247,7 +252,7 @@
     },
     latencyMs: () => latencyMs,
     confirmedAtMs: () => confirmedAtMs,
-    waitingMs: () => (pendingSinceMs === undefined ? 0 : clock.now() - pendingSinceMs),
+    failingMs: () => (hasFailed ? clock.now() - pendingSinceMs : 0),
     close,
   };
 }
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -8,7 +8,7 @@
 import type { Clock, Random } from '../clock/mod.ts';
 import { Kind } from '../errors/mod.ts';
 import type { Log } from '../logs/mod.ts';
-import type { Store, StoredRow } from '../model/mod.ts';
+import type { Store, StoreChange, StoredRow } from '../model/mod.ts';
 import { makeFollower } from './follower.ts';
 import { claimRow, heartbeatRow, leadershipTable, sequenceRow } from './rows.ts';
 
@@ -76,6 +76,8 @@
 const ownViewTimeoutMs = 900;
 const claimJitterMs = 20;
 const claimRetryMs = 200;
+/** A slow store carries out the claims of several candidates one after the other. */
+const claimTimeoutMs = 3_000;
 /** Why a claim is made after a silence in which the predecessor may go on. */
 const heartbeatStopped = 'the heartbeat of the scheduler has stopped';
 
@@ -151,14 +153,15 @@
     const epoch = (predecessor?.epoch ?? 0) + 1;
     const sequenceValue = `${epoch}.${self.instance}.0`;
     const next: Claim = { epoch, ...self };
-    const result = await store.transact({
+    const change: StoreChange = {
       expected: [{ ...claimRow, version: claimVersion }],
       writes: [
         { ...claimRow, value: JSON.stringify(next) },
         { ...sequenceRow, value: sequenceValue },
       ],
       deletes: [],
-    });
+    };
+    const result = await store.transact(change, claimTimeoutMs);
     result.caseOf({
       Left: ({ kind, got }) => {
         if (kind === Kind.TableConflict) (got as StoredRow[]).forEach(takeRow);
--- a/src/cell/service.ts
+++ b/src/cell/service.ts
@@ -32,8 +32,8 @@
   stateOf(jobId: string): JobState | undefined;
   /** Cancels a job; false when it does not know the job or the cancellation may not be stored. */
   cancel(jobId: string): Promise<boolean>;
-  /** Time for which the transaction under way has gone without success; 0 when there is none. */
-  storeWaitMs(): number;
+  /** Time for which the store has answered no attempt to write; 0 while it answers, if slowly. */
+  storeFailingMs(): number;
 }
 
 /** What the service asks other parts of the term. */
@@ -42,8 +42,10 @@
   isOverloaded(job: AcceptedJob): boolean;
 }
 
-/** Without a transaction for so long, the store is taken to turn this process away. */
-const storeTimeoutMs = 700;
+/** A store that answers no attempt for so long is taken to turn this process away. */
+const storeFailingLimitMs = 500;
+/** A caller is told that the outcome is unknown when its job is not stored within this time. */
+const storeTimeoutMs = 1_500;
 
 /**
  * Makes the service of a term.
@@ -61,7 +63,7 @@
   const isCurrent = () => isLoaded() && !term.over.aborted;
 
   function mayWrite(): boolean {
-    return isCurrent() && journal.waitingMs() < storeTimeoutMs;
+    return isCurrent() && journal.failingMs() < storeFailingLimitMs;
   }
 
   /** Whether all that was decided so far is stored; gives up when the store does not answer. */
@@ -91,6 +93,6 @@
       return isStored();
     },
 
-    storeWaitMs: journal.waitingMs,
+    storeFailingMs: journal.failingMs,
   };
 }
--- a/src/host/cell_client.ts
+++ b/src/host/cell_client.ts
@@ -4,10 +4,12 @@
  * A scheduler that does not answer is left alone for a while; the entry process then goes to the store
  * by itself.
  */
+import type { Either } from 'purify-ts';
+
 import { Submission } from '../cell/mod.ts';
 import type { CellService, Claim } from '../cell/mod.ts';
 import type { Clock } from '../clock/mod.ts';
-import { Kind } from '../errors/mod.ts';
+import { Kind, refuse } from '../errors/mod.ts';
 import type { Failure, Outcome } from '../errors/mod.ts';
 import type { Log } from '../logs/mod.ts';
 import type { AcceptedJob, JobState } from '../model/mod.ts';
@@ -30,11 +32,12 @@
   peers: PeerClient;
   /** The service of this process while it is the scheduler. */
   ownService(): CellService | undefined;
-  /** The claim of the scheduler, if it is another process. */
+  /** The claim of the scheduler, if it is another process that answers. */
   otherScheduler(): Claim | undefined;
 }
 
 const avoidMs = 400;
+const silenceCheckMs = 100;
 const maxRequests = 60;
 const maxBatches = 3;
 
@@ -65,13 +68,26 @@
     });
   }
 
+  /** Resolves with a failure once the scheduler at the address no longer answers pings. */
+  async function silenceOf(target: string, ended: AbortSignal): Outcome<never> {
+    while (!ended.aborted && otherScheduler()?.address === target) {
+      await clock.sleep(silenceCheckMs, ended);
+    }
+    return refuse(Kind.OutcomeUnknown, 'the scheduler fell silent', { got: target });
+  }
+
   async function call<Result>(
     send: (address: string) => Outcome<Result[]>,
     failed: (kind: Kind) => Result[] | undefined,
   ): Promise<Result[] | undefined> {
     const target = address();
     if (target === undefined) return failed(Kind.PeerUnavailable);
-    const result = await send(target);
+    const ended = new AbortController();
+    const result = await Promise.race<Either<Failure, Result[]>>([
+      send(target),
+      silenceOf(target, ended.signal),
+    ]);
+    ended.abort();
     return result.caseOf({
       Left: (problem) => {
         avoid(problem);
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -64,7 +64,7 @@
 const drainNoticeMs = 2_300;
 const drainPollMs = 50;
 const graceMarginMs = 900;
-const resignTimeoutMs = 800;
+const resignTimeoutMs = 2_000;
 
 /**
  * Makes an entry process.
@@ -257,7 +257,7 @@
         servePeers(
           self.address,
           {
-            instance: self.instance,
+            instance: () => (isDraining ? '' : self.instance),
             advise,
             relay: front.answer,
             wishes: wishes.message,
@@ -282,9 +282,8 @@
       const deadlineMs = clock.now() + settings.graceMs - graceMarginMs;
       const resigning = leadership.resign(resignTimeoutMs);
       term?.stop();
-      await resigning;
       // New connections still arrive until the platform has noticed that this process is not ready.
-      await clock.sleep(drainNoticeMs);
+      await Promise.all([resigning, clock.sleep(drainNoticeMs)]);
       servers[0]?.drain();
       while (clock.now() < deadlineMs && (servers[0]?.openConnections() ?? 0) > 0) {
         await clock.sleep(drainPollMs);
--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -23,7 +23,8 @@
 
 /** What a process does for the others. */
 export interface PeerService {
-  instance: string;
+  /** The instance of this process; empty once it is stopping and schedules no more. */
+  instance(): string;
   advise: Adviser;
   relay(call: ClientCall): Promise<ClientAnswer>;
   wishes(): WishesMessage | undefined;
@@ -37,8 +38,8 @@
   instance?: string;
   /** Nothing listens there. */
   isRefused: boolean;
-  /** Time for which its transaction under way, as scheduler, has gone without success. */
-  storeWaitMs: number;
+  /** Time for which the store has answered none of its attempts to write, as scheduler. */
+  storeFailingMs: number;
 }
 
 /** Calls to other processes. */
@@ -58,7 +59,7 @@
 const connections = 16;
 const relayTimeoutMs = 1_300;
 const wishesTimeoutMs = 500;
-const cellTimeoutMs = 700;
+const cellTimeoutMs = 1_600;
 const statesTimeoutMs = 500;
 const pingTimeoutMs = 350;
 const adviceMarginMs = 200;
@@ -105,8 +106,8 @@
   async function handlePeer({ path, body }: HttpRequest): Promise<HttpAnswer> {
     if (path === '/ping')
       return json(200, {
-        instance: service.instance,
-        storeWaitMs: service.cell()?.storeWaitMs() ?? 0,
+        instance: service.instance(),
+        storeFailingMs: service.cell()?.storeFailingMs() ?? 0,
       });
     if (path === '/wishes') {
       const message = service.wishes();
@@ -199,12 +200,12 @@
         path: '/ping',
         timeoutMs: pingTimeoutMs,
       });
-      if (isNoAnswer(answer)) return { isRefused: answer.isRefused, storeWaitMs: 0 };
-      const { instance, storeWaitMs } = answer.body;
+      if (isNoAnswer(answer)) return { isRefused: answer.isRefused, storeFailingMs: 0 };
+      const { instance, storeFailingMs } = answer.body;
       return {
         instance: String(instance),
         isRefused: false,
-        storeWaitMs: Number(storeWaitMs),
+        storeFailingMs: Number(storeFailingMs),
       };
     },
   };
--- a/src/host/scheduler_watch.ts
+++ b/src/host/scheduler_watch.ts
@@ -46,11 +46,11 @@
   }
 
   async function ping(claim: Claim): Promise<void> {
-    const { instance, isRefused, storeWaitMs } = await peers.ping(claim.address);
+    const { instance, isRefused, storeFailingMs } = await peers.ping(claim.address);
     silentInstance = instance === claim.instance ? undefined : claim.instance;
     const isGone = isRefused || (instance !== undefined && instance !== claim.instance);
     if (isGone) leadership.reportRejected(claim.instance);
-    const isSound = instance !== undefined && storeWaitMs < troubleMs;
+    const isSound = instance !== undefined && storeFailingMs < troubleMs;
     if (isSound || soundAt.instance !== claim.instance) {
       soundAt = { instance: claim.instance, atMs: clock.now() };
     }
