Count the objective of an occurrence from its due time, and jobs as waiting until a worker has begun them

Change: hasBegun is set by a worker's word only; steps carry sinceMs. The first log line of a job tells what it needs, that of a worker its labels.

--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -75,6 +75,8 @@
         event: 'worker-found',
         worker: worker.entry.id,
         born: report.bornMs,
+        labels: worker.entry.labels,
+        capacity: worker.entry.capacity,
       });
     }
     const observation = observe(worker, report, { nowMs, sentAtMs });
--- a/src/cell/service.ts
+++ b/src/cell/service.ts
@@ -42,6 +42,18 @@
   isOverloaded(job: AcceptedJob): boolean;
 }
 
+/** What decides where and when a job can run, for its first log line. */
+function factsOf({ id, organisation, spec: { steps, repetition } }: AcceptedJob) {
+  return {
+    id,
+    organisation,
+    tasks: steps.map(({ count }) => count),
+    cpu: steps.map(({ need }) => need.cpu),
+    requirements: steps.flatMap(({ requirement }) => requirement ?? []),
+    ...(repetition ?? {}),
+  };
+}
+
 /** A store that answers no attempt for so long is taken to turn this process away. */
 const storeFailingLimitMs = 500;
 /** A caller is told that the outcome is unknown when its job is not stored within this time. */
@@ -79,7 +91,7 @@
         const ageMs = Math.max(0, clock.wall() - job.acceptedAtMs);
         addJob(state, job, clock.now() - ageMs);
         journal.mark(acceptedRow(job.id), () => JSON.stringify(job));
-        log.info('job taken', { event: 'job-taken', id: job.id, queue: job.queue });
+        log.info('job taken', { event: 'job-taken', queue: job.queue, ...factsOf(job) });
         term.schedulePass();
       }
       return (await isStored()) ? Submission.Stored : Submission.Unknown;
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -155,6 +155,7 @@
       term.schedulePass();
     },
     onStarted(run) {
+      run.step.job.hasBegun = true;
       log.info('started', {
         event: 'started',
         id: run.step.job.accepted.id,
--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -20,14 +20,28 @@
 /** Steps without worth that a pass tries to place. */
 const maxTooLateTried = 24;
 
+type Times = Pick<DecisionInputs, 'nowMs' | 'wallMs'>;
+
 function isDue(job: Job, occurrence: number, wallMs: number): boolean {
   const { repetition } = job.accepted.spec;
   return !repetition || wallMs >= repetition.startAtMs + occurrence * repetition.intervalMs;
 }
 
-function readySteps(job: Job, wallMs: number): Step[] {
+/** Makes the objective of an occurrence count from the time at which it was due. */
+function noteDueTime(job: Job, occurrence: number, { nowMs, wallMs }: Times): void {
+  const { repetition } = job.accepted.spec;
+  if (!repetition || job.occurrences.has(occurrence)) return;
+  const dueAtWallMs = repetition.startAtMs + occurrence * repetition.intervalMs;
+  const sinceMs = Math.max(job.acceptedAtMs, nowMs - (wallMs - dueAtWallMs));
+  stepsOf(job, occurrence).forEach((step) => {
+    step.sinceMs = sinceMs;
+  });
+}
+
+function readySteps(job: Job, times: Times): Step[] {
   const ready: Step[] = [];
-  for (let k = 0; k < occurrenceCount(job) && isDue(job, k, wallMs); k++) {
+  for (let k = 0; k < occurrenceCount(job) && isDue(job, k, times.wallMs); k++) {
+    noteDueTime(job, k, times);
     const steps = stepsOf(job, k);
     const isReady = (step: Step) =>
       step.remaining > 0 && step.spec.after.every((number) => steps[number]?.remaining === 0);
@@ -93,7 +107,7 @@
     decisions,
   };
   const ranked = [...state.active]
-    .flatMap((job) => readySteps(job, inputs.wallMs))
+    .flatMap((job) => readySteps(job, inputs))
     .map((step) => ({
       step,
       rank: rankOf(step, termsOf(step.job, lookup.queues.get(step.job.accepted.queue)), nowMs),
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -24,6 +24,7 @@
     tasks: Array.from({ length: spec.count }, makeTask),
     remaining: spec.count,
     triedAtMs: -Infinity,
+    sinceMs: job.acceptedAtMs,
     advice: {
       asked: new Set(),
       allowed: new Set(),
@@ -63,6 +64,7 @@
     acceptedAtMs,
     state: JobState.Queued,
     storedState: JobState.Queued,
+    hasBegun: false,
     hasEntryRows: false,
     chainMs: longestChainMs(accepted.spec.steps),
     cpuMs: accepted.spec.steps.reduce(
@@ -196,6 +198,8 @@
   releaseRun(state, run);
   task.runs = task.runs.filter((other) => other !== run);
   keepCheckpoint(run, checkpoint);
+  // A run that is taken as lost may never have started.
+  if (end !== RunEnd.Expired) job.hasBegun = true;
   if (isFinal(job.state)) return { toStop: [] };
   if (end === RunEnd.Done) {
     tasksOf(run).forEach((member) => completeTask(step, member));
@@ -216,8 +220,8 @@
 /** Jobs of each queue of which no task has started. */
 export function countPending(state: CellState): Map<string, number> {
   const counts = new Map<string, number>();
-  state.active.forEach(({ state: jobState, accepted }) => {
-    if (jobState !== JobState.Queued) return;
+  state.active.forEach(({ hasBegun, accepted }) => {
+    if (hasBegun) return;
     counts.set(accepted.queue, (counts.get(accepted.queue) ?? 0) + 1);
   });
   return counts;
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -5,6 +5,7 @@
  * Load answered: more work than room. Serving the oldest first would make all of it late; so work that
  * can only be late waits behind work that can be in time.
  */
+import { JobState } from '../model/mod.ts';
 import type { StepSpec } from '../model/mod.ts';
 import type { Job, QueueTerms, Step } from './state.ts';
 
@@ -46,14 +47,18 @@
   dueAtMs: number;
 }
 
+function hasBegun({ job, occurrence }: Step): boolean {
+  if (!job.accepted.spec.repetition) return job.state !== JobState.Queued;
+  const steps = job.occurrences.get(occurrence) ?? [];
+  return steps.some(({ tasks }) => tasks.some(({ attempt }) => attempt > 0));
+}
+
 function urgencyOf(step: Step, objective: number, nowMs: number): Urgency {
-  const { job } = step;
-  const waitedMs = nowMs - job.acceptedAtMs;
+  const waitedMs = nowMs - step.sinceMs;
   const neededMs = step.spec.estimatedMs;
   if (waitedMs + neededMs > lateFactor * objective) return Urgency.TooLate;
-  // A job that has begun is worth finishing before others begin.
-  const hasBegun = job.state !== 'queued';
-  return waitedMs + neededMs > objective && !hasBegun ? Urgency.Late : Urgency.InTime;
+  // Work that has begun is worth finishing before other work begins.
+  return waitedMs + neededMs > objective && !hasBegun(step) ? Urgency.Late : Urgency.InTime;
 }
 
 /**
@@ -67,7 +72,7 @@
   return {
     urgency: urgencyOf(step, objective, nowMs),
     priority: terms.priority,
-    dueAtMs: step.job.acceptedAtMs + objective,
+    dueAtMs: step.sinceMs + objective,
   };
 }
 
--- a/src/scheduler/overload_test.ts
+++ b/src/scheduler/overload_test.ts
@@ -83,4 +83,25 @@
   assert.ok(counts[1]! >= 8 && counts[1]! <= 13, String(counts));
 });
 
+test('an occurrence that is due now is urgent, however long ago its job was accepted', () => {
+  const state = cellWith(1, 1_000);
+  const repeated = acceptedJob('timed', [stepSpec()]);
+  repeated.spec.repetition = { count: 2, startAtMs: 0, intervalMs: 60_000 };
+  submit(state, repeated, 0);
+  submit(state, acceptedJob('late', [stepSpec()]), 50_000);
+  const times = { nowMs: 60_010, wallMs: 60_010 };
+  // The first occurrence and the other job are too late; the second occurrence has just come due.
+  const { starts } = decide(state, {
+    ...times,
+    configuration: configuration(),
+    evacuated: new Set(),
+    orderDelayMs: 0,
+    takeAdviceSlot: () => 'slot',
+  });
+  assert.equal(
+    starts.map(({ step }) => [step.job.accepted.id, step.occurrence]),
+    [['timed', 1]],
+  );
+});
+
 test.run();
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -116,6 +116,7 @@
         const task = step.tasks[index]!;
         Object.assign(task, { attempt, failures, checkpoint, done: done === 1 });
         if (done === 1) step.remaining -= 1;
+        if (done === 1 || failures > 0 || checkpoint !== '') job.hasBegun = true;
         restoreRuns(state, { step, index }, runs, nowMs);
       });
     });
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -80,6 +80,8 @@
   tasks: Task[];
   /** Tasks that are not done. */
   remaining: number;
+  /** Monotonic time from which its objective counts: acceptance, or when its occurrence was due. */
+  sinceMs: number;
   advice: StepAdvice;
   plan?: Plan;
   /** When a pass last tried to place the step although it can only be late without worth. */
@@ -97,6 +99,8 @@
   state: JobState;
   /** The state as it was last stored, which is the one that clients are shown. */
   storedState: JobState;
+  /** A worker is known to have started a task of it; an order alone does not tell. */
+  hasBegun: boolean;
   /** An entry process has stored the job, or a request to cancel it, without the scheduler. */
   hasEntryRows: boolean;
   /** Duration of the longest chain of steps. */
--- a/src/scheduler/workers.ts
+++ b/src/scheduler/workers.ts
@@ -43,6 +43,7 @@
       run.progressAtMs = nowMs;
     }
     run.unsettled = false;
+    run.step.job.hasBegun = true;
     if (percent !== run.percent) {
       run.percent = percent;
       run.progressAtMs = nowMs;
--- a/src/scheduler/workers_test.ts
+++ b/src/scheduler/workers_test.ts
@@ -12,7 +12,7 @@
   submit,
 } from '../testing/fake_cell.ts';
 import { decide } from './decide.ts';
-import { addJob } from './jobs.ts';
+import { addJob, countPending } from './jobs.ts';
 import { encodeProgress, restoreProgress } from './records.ts';
 import type { JobRecord } from './records.ts';
 import { makeCellState, RunPhase, taskName } from './state.ts';
@@ -154,4 +154,14 @@
   assert.is(successor.usage.get('mill')!.cpu, 2_000);
 });
 
+test('a job waits until a worker is known to have started it, whatever was ordered', () => {
+  const state = cellWith(1);
+  submit(state, acceptedJob('a', [stepSpec()]));
+  const [run] = startAll(state);
+  assert.equal([...countPending(state)], [['batch', 1]], 'an order may never arrive');
+  const worker = state.workers.get('w1')!;
+  observe(worker, report({ running: [listed(run!)] }), { nowMs: 20, sentAtMs: 10 });
+  assert.equal([...countPending(state)], []);
+});
+
 test.run();
