--- a/src/bin/host.ts
+++ b/src/bin/host.ts
@@ -2,10 +2,12 @@
  * The entry process on the users' platform.
  */
 import { readFileSync } from 'node:fs';
+import { parseArgs } from 'node:util';
 
 import { makeRandom, systemClock } from '../clock/mod.ts';
-import { makeHost } from '../host/mod.ts';
-import { makeLogs, Part } from '../logs/mod.ts';
+import { listen } from '../front/mod.ts';
+import { makeHost, makeHostMetrics } from '../host/mod.ts';
+import { logFailure, makeLogs, Part } from '../logs/mod.ts';
 import {
   decodeSettings,
   makeAdviser,
@@ -16,6 +18,8 @@
 
 const configurationExitCode = 78;
 const maxLogBufferBytes = 4_000_000;
+const metricsPath = '/metrics';
+const maxMetricsBodyBytes = 1_024;
 
 function fail(problems: string[]): never {
   process.stderr.write(`${problems.map((problem) => `dogwoodhollow: ${problem}`).join('\n')}\n`);
@@ -32,13 +36,16 @@
 }
 
 const settings = decodeSettings(readSettings()).caseOf({ Left: fail, Right: (value) => value });
-const logs = makeLogs({ process: settings.name, fd: 1, maxBufferBytes: maxLogBufferBytes });
+const metrics = makeHostMetrics(systemClock);
+const bareLogs = makeLogs({ process: settings.name, fd: 1, maxBufferBytes: maxLogBufferBytes });
+const logs = (part: Part) => metrics.countLines(bareLogs(part));
 const host = makeHost({
   settings,
   clock: systemClock,
   random: makeRandom(process.pid + Date.now()),
   logs: { host: logs(Part.Host), front: logs(Part.Front), cell: logs(Part.Cell) },
-  store: makeStore(settings.storeAddress, systemClock),
+  store: metrics.timeStore(makeStore(settings.storeAddress, systemClock)),
+  timeCalls: metrics.timeCalls,
   workers: makeWorkers(systemClock),
   adviser:
     settings.adviceAddress === undefined
@@ -53,4 +60,22 @@
     (error: unknown) => fail([String(error)]),
   );
 });
-host.start().catch((error: unknown) => fail([String((error as Error).stack)]));
+
+/** Serves the metrics, if their port was given. */
+async function serveMetrics(port: string): Promise<void> {
+  await listen({
+    address: `${settings.ip}:${port}`,
+    maxBodyBytes: () => maxMetricsBodyBytes,
+    async handle({ path }) {
+      if (path !== metricsPath) return { status: 404, body: '' };
+      return { status: 200, body: await metrics.text(), headers: { 'content-type': 'text/plain' } };
+    },
+    onError: logFailure(logs(Part.Host), 'the metrics'),
+  });
+}
+
+const { 'metrics-port': metricsPort } = parseArgs({
+  options: { 'metrics-port': { type: 'string' } },
+}).values;
+const starting = [host.start(), ...(metricsPort === undefined ? [] : [serveMetrics(metricsPort)])];
+Promise.all(starting).catch((error: unknown) => fail([String((error as Error).stack)]));
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -27,6 +27,7 @@
   registryTable,
 } from '../../platform/mod.ts';
 import type { HostSettings } from '../../platform/mod.ts';
+import type { HostMetrics } from './host_metrics.ts';
 import { makeHostAdvicePool } from './host_advice_pool.ts';
 import { makeCellClient } from './cell_client.ts';
 import { makeMembership } from './membership.ts';
@@ -45,6 +46,8 @@
   store: Store;
   workers: Workers;
   adviser: Adviser | undefined;
+  /** Counts and times the calls of clients. */
+  timeCalls: HostMetrics['timeCalls'];
 }
 
 /** An entry process. */
@@ -245,7 +248,7 @@
         listen({
           address: settings.listen.callers,
           maxBodyBytes: () => wishes.current()?.configuration.maxBodyBytes ?? defaultMaxBodyBytes,
-          handle: (request) => serveClient(front, request),
+          handle: options.timeCalls((request) => serveClient(front, request)),
           onError,
         }),
         listen({
--- a/src/testing/site.ts
+++ b/src/testing/site.ts
@@ -89,6 +89,7 @@
       settings,
       clock: systemClock,
       random: makeRandom(index + 1),
+      timeCalls: (handle) => handle,
       logs: { host: silentLog, front: silentLog, cell: silentLog },
       store: makeStore(settings.storeAddress, systemClock),
       workers: makeWorkers(systemClock),
