Replace a scheduler as soon as the store has failed it for 0.65 s, and end a call when the store fails

The time for which the store had failed was counted before a second such time began. host_test failed once on this: a job that met a store that is down waited 1.5 s for 504. Change: silence counts from the store's first failure; a call ends 0.3 s after the store is seen to fail.

--- a/src/cell/service.ts
+++ b/src/cell/service.ts
@@ -55,7 +55,8 @@
 }
 
 /** A store that answers no attempt for so long is taken to turn this process away. */
-const storeFailingLimitMs = 500;
+const storeFailingLimitMs = 250;
+const storeCheckMs = 150;
 /** A caller is told that the outcome is unknown when its job is not stored within this time. */
 const storeTimeoutMs = 1_500;
 
@@ -78,9 +79,24 @@
     return isCurrent() && journal.failingMs() < storeFailingLimitMs;
   }
 
+  /** Resolves once the store has failed for a while, or has not answered for long. */
+  async function storeTrouble(ended: AbortSignal): Promise<false> {
+    const startedAtMs = clock.now();
+    let checksFailing = 0;
+    while (!ended.aborted && clock.now() - startedAtMs < storeTimeoutMs) {
+      await clock.sleep(storeCheckMs, ended);
+      checksFailing = journal.failingMs() > storeFailingLimitMs ? checksFailing + 1 : 0;
+      if (checksFailing > 1) return false;
+    }
+    return false;
+  }
+
   /** Whether all that was decided so far is stored; gives up when the store does not answer. */
-  function isStored(): Promise<boolean> {
-    return Promise.race([journal.flush(), clock.sleep(storeTimeoutMs).then(() => false)]);
+  async function isStored(): Promise<boolean> {
+    const ended = new AbortController();
+    const stored = await Promise.race([journal.flush(), storeTrouble(ended.signal)]);
+    ended.abort();
+    return stored;
   }
 
   return {
--- a/src/host/scheduler_watch.ts
+++ b/src/host/scheduler_watch.ts
@@ -50,10 +50,11 @@
     silentInstance = instance === claim.instance ? undefined : claim.instance;
     const isGone = isRefused || (instance !== undefined && instance !== claim.instance);
     if (isGone) leadership.reportRejected(claim.instance);
-    const isSound = instance !== undefined && storeFailingMs < troubleMs;
-    if (isSound || soundAt.instance !== claim.instance) {
+    if (soundAt.instance !== claim.instance) {
       soundAt = { instance: claim.instance, atMs: clock.now() };
     }
+    // A scheduler that answers was sound until the store began to fail it.
+    if (instance !== undefined) soundAt.atMs = clock.now() - storeFailingMs;
     if (clock.now() - soundAt.atMs > troubleMs) leadership.reportSilent(claim.instance);
   }
 
--- /dev/null
+++ b/src/host/scheduler_watch_test.ts
@@ -0,0 +1,61 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import type { Leadership } from '../cell/mod.ts';
+import { systemClock } from '../clock/mod.ts';
+import type { Clock } from '../clock/mod.ts';
+import type { PeerClient, Pong } from './peers.ts';
+import { makeSchedulerWatch } from './scheduler_watch.ts';
+
+const test = suite('watch of the scheduler');
+
+/** Plays pings, 250 ms apart; tells what was reported at which time. */
+async function play(pongs: Pong[]): Promise<[report: string, atMs: number][]> {
+  let nowMs = 0;
+  const reports: [string, number][] = [];
+  const over = new AbortController();
+  const clock: Clock = {
+    ...systemClock,
+    now: () => nowMs,
+    async sleep(ms) {
+      nowMs += ms;
+      await Promise.resolve();
+    },
+  };
+  const claim = { epoch: 1, instance: 'a', name: 'host-a', address: '10.0.0.1:7420' };
+  const leadership = {
+    claim: () => claim,
+    reportRejected: () => reports.push(['rejected', nowMs]),
+    reportSilent: () => reports.push(['silent', nowMs]),
+  } as Partial<Leadership> as Leadership;
+  const peers = {
+    async ping() {
+      const pong = pongs.shift();
+      if (pongs.length === 0) over.abort();
+      return pong!;
+    },
+  } as Partial<PeerClient> as PeerClient;
+  await makeSchedulerWatch({ clock, peers, leadership, self: { instance: 'b' } }).run(over.signal);
+  return reports;
+}
+
+const sound = { instance: 'a', isRefused: false, storeFailingMs: 0 };
+
+test('a scheduler that the store fails is reported once that has lasted, not twice as long', async () => {
+  const failing = [250, 500, 750].map((storeFailingMs) => ({ ...sound, storeFailingMs }));
+  assert.equal(await play([sound, ...failing]), [['silent', 1_000]]);
+});
+
+test('a scheduler without an answer is reported after a while, and one that answers again is not', async () => {
+  const silent = { isRefused: false, storeFailingMs: 0 };
+  assert.equal(await play([sound, silent, silent, sound, silent, silent]), []);
+  assert.equal(await play([sound, silent, silent, silent]), [['silent', 1_000]]);
+});
+
+test('a scheduler whose host rejects connections, or runs another instance, is reported at once', async () => {
+  const refused = { isRefused: true, storeFailingMs: 0 };
+  assert.equal(await play([refused]), [['rejected', 250]]);
+  assert.equal(await play([{ ...sound, instance: 'c' }]), [['rejected', 250]]);
+});
+
+test.run();
