--- /dev/null
+++ b/src/cell/service_test.ts
@@ -0,0 +1,102 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { systemClock } from '../clock/mod.ts';
+import { silentLog } from '../logs/mod.ts';
+import type { Workers } from '../model/mod.ts';
+import { acceptedJob, configuration, queue, stepSpec } from '../testing/fake_cell.ts';
+import { makeFakeStore } from '../testing/fake_store.ts';
+import type { Fate } from '../testing/fake_store.ts';
+import { acceptedRow, sequenceRow } from './rows.ts';
+import { Submission } from './service.ts';
+import { makeTerm } from './term.ts';
+import type { SchedulerTerm } from './term.ts';
+
+const test = suite('service of the scheduler');
+
+async function withTerm(
+  play: (term: SchedulerTerm, store: ReturnType<typeof makeFakeStore>) => Promise<void>,
+): Promise<void> {
+  const inner = makeFakeStore();
+  const claimed = await inner.transact({
+    expected: [],
+    writes: [{ ...sequenceRow, value: '1.a.0' }],
+    deletes: [],
+  });
+  const store = {
+    ...inner,
+    async watch(...args: Parameters<typeof inner.watch>) {
+      await systemClock.sleep(5);
+      return inner.watch(...args);
+    },
+  };
+  const term = makeTerm({
+    store,
+    workers: {} as Workers,
+    clock: systemClock,
+    log: silentLog,
+    advicePool: { take: () => undefined, ask: async () => undefined },
+    registryTable: 'servers',
+    decodeWorker: () => undefined,
+    wishes: () => ({
+      configuration: configuration([queue()]),
+      evacuated: new Set<string>(),
+      currentAtMs: systemClock.now(),
+    }),
+    claim: { epoch: 1, instance: 'a', sequence: { version: claimed.orDefault(0), value: '1.a.0' } },
+    predecessorMayAct: false,
+    maxLeaseMs: 6_000,
+    onLost: () => undefined,
+  });
+  assert.is(
+    await term.service.submit(acceptedJob('early', [stepSpec()])),
+    Submission.NotTaken,
+    'before the jobs are loaded nothing is taken',
+  );
+  const running = term.run();
+  while (term.service.stateOf('first') === undefined) {
+    await term.service.submit(acceptedJob('first', [stepSpec()]));
+    await systemClock.sleep(2);
+  }
+  try {
+    await play(term, inner);
+  } finally {
+    term.stop();
+    await running;
+  }
+}
+
+test('a job that is said to be stored is in the store, and the same job again is one job', () =>
+  withTerm(async ({ service }, store) => {
+    const job = acceptedJob('a1', [stepSpec()]);
+    const both = await Promise.all([service.submit(job), service.submit(job)]);
+    assert.equal(both, [Submission.Stored, Submission.Stored]);
+    const { table, key } = acceptedRow('a1');
+    assert.is(JSON.parse(store.value(table, key)!).id, 'a1');
+    assert.is(service.stateOf('a1'), 'queued');
+    assert.is(service.stateOf('a2'), undefined);
+  }));
+
+test('a cancelled job is shown as cancelled only once that is stored', () =>
+  withTerm(async ({ service }, store) => {
+    await service.submit(acceptedJob('a1', [stepSpec()]));
+    let fate: Fate = 'rejected';
+    store.setFate(() => fate);
+    const cancelling = service.cancel('a1');
+    await systemClock.sleep(30);
+    assert.is(service.stateOf('a1'), 'queued');
+    fate = 'done';
+    assert.is(await cancelling, true);
+    assert.is(service.stateOf('a1'), 'cancelled');
+    assert.is(await service.cancel('unknown'), false);
+  }));
+
+test('a store that fails leaves the outcome unknown, and then nothing more is taken', () =>
+  withTerm(async ({ service }, store) => {
+    store.setFate(() => 'rejected');
+    assert.is(await service.submit(acceptedJob('a1', [stepSpec()])), Submission.Unknown);
+    assert.is(await service.submit(acceptedJob('a2', [stepSpec()])), Submission.NotTaken);
+    assert.ok(service.storeFailingMs() > 0);
+  }));
+
+test.run();
--- a/src/front/front_test.ts
+++ b/src/front/front_test.ts
@@ -145,4 +145,36 @@
   assert.is((await call('GET')).body, 'running');
 });
 
+test('a job that the scheduler took needs no call to the store', async () => {
+  const { store, call } = setUp({
+    cell: { ...noScheduler, submit: async () => Submission.Stored, stateOf: async () => 'running' },
+  });
+  assert.is((await call('POST')).status, 200);
+  assert.is((await call('GET')).body, 'running');
+  assert.is(store.rows.size, 0);
+});
+
+test('a job that the scheduler may have stored is never refused as not run', async () => {
+  const cell = { ...noScheduler, submit: async () => Submission.Unknown };
+  const { store, call } = setUp({ cell, isOverloaded: () => true });
+  store.setFate(() => 'rejected');
+  assert.is((await call('POST')).status, 504);
+  const down = setUp({ cell, isStoreDown: () => true });
+  assert.is((await down.call('POST')).status, 504);
+});
+
+test('a process that the store turns away still serves what the scheduler can', async () => {
+  const { call } = setUp({
+    isStoreDown: () => true,
+    cell: {
+      submit: async () => Submission.Stored,
+      stateOf: async () => 'completed',
+      cancel: async () => true,
+    },
+  });
+  assert.is((await call('POST')).status, 200);
+  assert.is((await call('GET')).body, 'completed');
+  assert.is((await call('DELETE')).status, 200);
+});
+
 test.run();
--- /dev/null
+++ b/src/host/batches_test.ts
@@ -0,0 +1,48 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { makeBatches } from './batches.ts';
+
+const test = suite('batches');
+
+function setUp(maxRequests = 10) {
+  const sent: number[][] = [];
+  const answer: ((results: string[] | undefined) => void)[] = [];
+  const batches = makeBatches<number, string>({
+    send(requests) {
+      sent.push(requests);
+      return new Promise((resolve) => {
+        answer.push(resolve);
+      });
+    },
+    otherwise: 'none',
+    maxUnderWay: 1,
+    maxRequests,
+  });
+  return { batches, sent, answer };
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 10; turn++) await Promise.resolve();
+}
+
+test('a burst of requests costs two exchanges, and each gets its own result', async () => {
+  const { batches, sent, answer } = setUp();
+  const results = Promise.all([1, 2, 3, 4].map((request) => batches.ask(request)));
+  answer[0]!(['a']);
+  await settle();
+  answer[1]!(['b', 'c', 'd']);
+  assert.equal(await results, ['a', 'b', 'c', 'd']);
+  assert.equal(sent, [[1], [2, 3, 4]]);
+});
+
+test('a batch without results fails its own requests only, and a short one its tail', async () => {
+  const { batches, answer } = setUp(2);
+  const results = [1, 2, 3].map((request) => batches.ask(request));
+  answer[0]!(undefined);
+  await settle();
+  answer[1]!(['b']);
+  assert.equal(await Promise.all(results), ['none', 'b', 'none']);
+});
+
+test.run();
