--- a/src/cell/service_test.ts
+++ b/src/cell/service_test.ts
@@ -2,14 +2,12 @@
 import * as assert from 'uvu/assert';
 
 import { systemClock } from '../clock/mod.ts';
-import { silentLog } from '../logs/mod.ts';
-import type { Workers } from '../model/mod.ts';
-import { acceptedJob, configuration, queue, stepSpec } from '../testing/fake_cell.ts';
+import { acceptedJob, stepSpec } from '../testing/fake_cell.ts';
 import { makeFakeStore } from '../testing/fake_store.ts';
 import type { Fate } from '../testing/fake_store.ts';
-import { acceptedRow, sequenceRow } from './rows.ts';
+import { claimTerm, withSlowWatch } from '../testing/fake_term.ts';
+import { acceptedRow } from './rows.ts';
 import { Submission } from './service.ts';
-import { makeTerm } from './term.ts';
 import type { SchedulerTerm } from './term.ts';
 
 const test = suite('service of the scheduler');
@@ -18,36 +16,7 @@
   play: (term: SchedulerTerm, store: ReturnType<typeof makeFakeStore>) => Promise<void>,
 ): Promise<void> {
   const inner = makeFakeStore();
-  const claimed = await inner.transact({
-    expected: [],
-    writes: [{ ...sequenceRow, value: '1.a.0' }],
-    deletes: [],
-  });
-  const store = {
-    ...inner,
-    async watch(...args: Parameters<typeof inner.watch>) {
-      await systemClock.sleep(5);
-      return inner.watch(...args);
-    },
-  };
-  const term = makeTerm({
-    store,
-    workers: {} as Workers,
-    clock: systemClock,
-    log: silentLog,
-    advicePool: { take: () => undefined, ask: async () => undefined },
-    registryTable: 'servers',
-    decodeWorker: () => undefined,
-    wishes: () => ({
-      configuration: configuration([queue()]),
-      evacuated: new Set<string>(),
-      currentAtMs: systemClock.now(),
-    }),
-    claim: { epoch: 1, instance: 'a', sequence: { version: claimed.orDefault(0), value: '1.a.0' } },
-    predecessorMayAct: false,
-    maxLeaseMs: 6_000,
-    onLost: () => undefined,
-  });
+  const term = await claimTerm(withSlowWatch(inner));
   assert.is(
     await term.service.submit(acceptedJob('early', [stepSpec()])),
     Submission.NotTaken,
--- /dev/null
+++ b/src/testing/fake_term.ts
@@ -0,0 +1,56 @@
+/**
+ * A scheduler's term over a store in memory, without workers and without an advice service.
+ */
+import { makeTerm } from '../cell/mod.ts';
+import type { SchedulerTerm } from '../cell/mod.ts';
+import { systemClock } from '../clock/mod.ts';
+import { silentLog } from '../logs/mod.ts';
+import type { Store, Workers } from '../model/mod.ts';
+import { configuration } from './fake_cell.ts';
+
+/** Row that the term's first transaction expects, as its claim left it. */
+export const firstSequence = { table: 'sequence', part: 'c0', key: 'sequence', value: '1.a.0' };
+
+/** A store whose watch for changes waits, so that nothing spins. */
+export function withSlowWatch<Kind extends Store>(store: Kind): Kind {
+  return {
+    ...store,
+    async watch(...args: Parameters<Store['watch']>) {
+      await systemClock.sleep(5);
+      return store.watch(...args);
+    },
+  };
+}
+
+/**
+ * Claims the cell in the store and makes the term.
+ *
+ * @example
+ * const term = await claimTerm(withSlowWatch(makeFakeStore()));
+ * await term.run();
+ */
+export async function claimTerm(store: Store): Promise<SchedulerTerm> {
+  const claimed = await store.transact({ expected: [], writes: [firstSequence], deletes: [] });
+  return makeTerm({
+    store,
+    workers: {} as Workers,
+    clock: systemClock,
+    log: silentLog,
+    advicePool: { take: () => undefined, ask: async () => undefined },
+    registryTable: 'servers',
+    decodeWorker: () => undefined,
+    wishes: () => ({
+      configuration: configuration(),
+      evacuated: new Set<string>(),
+      currentAtMs: systemClock.now(),
+    }),
+    claim: {
+      epoch: 1,
+      instance: 'a',
+      sequence: { version: claimed.orDefault(0), value: firstSequence.value },
+    },
+    predecessorMayAct: false,
+    maxLeaseMs: 6_000,
+    onLost: () => undefined,
+  });
+}
