Never take back a start that was sent because its ticket has expired

Change: only a start that this loop has not sent is given up for its ticket. Test in _orders_test, fails without the change. Ruled out: the lease (it was renewed), the fencing token (one scheduler all the while).

--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -110,6 +110,8 @@
   }
 
   async function start(run: Run): Promise<void> {
+    // A report may settle a run that was sent; it is still not one that was never sent.
+    let wasSent = false;
     for (let worker = isHeld(state, run); worker && !isOver(); worker = isHeld(state, run)) {
       if (run.phase === RunPhase.Stopping) return;
       if (isFinal(run.step.job.state) && !run.unsettled) {
@@ -117,13 +119,14 @@
         return;
       }
       const wasUnsettled = run.unsettled;
-      if (!wasUnsettled && hasExpiredTicket(run)) {
+      if (!wasSent && !wasUnsettled && hasExpiredTicket(run)) {
         // Storing the start took longer than the ticket is valid.
         logOrder('start-not-sent', run, { reason: Rejection.Ticket });
         onRejected(run, Rejection.Ticket);
         return;
       }
       run.unsettled = true;
+      wasSent = true;
       const outcome = await sendStart(run, worker);
       if (outcome === undefined) {
         run.unsettled = false;
--- /dev/null
+++ b/src/cell/_orders_test.ts
@@ -0,0 +1,58 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { systemClock } from '../clock/mod.ts';
+import { silentLog } from '../logs/mod.ts';
+import { Rejection } from '../model/mod.ts';
+import type { Workers } from '../model/mod.ts';
+import { decide, RunPhase } from '../scheduler/mod.ts';
+import { acceptedJob, cellWith, configuration, stepSpec, submit } from '../testing/fake_cell.ts';
+import { makeOrders } from './_orders.ts';
+import type { WorkerLink } from './worker_link.ts';
+
+const test = suite('orders');
+
+test('a start that was sent is not taken back when its ticket expires before the answer', async () => {
+  const state = cellWith(1);
+  submit(state, acceptedJob('a', [stepSpec()]));
+  const [run] = decide(state, {
+    nowMs: 0,
+    wallMs: 0,
+    configuration: configuration(),
+    evacuated: new Set(),
+    orderDelayMs: 0,
+    takeAdviceSlot: () => 'slot',
+  }).starts;
+  const ticket = { value: 't', bornMs: 1, validUntilMs: systemClock.now() + 30 };
+  run!.step.advice.tickets.set(run!.workerId, ticket);
+  const rejected: Rejection[] = [];
+  let sent = 0;
+  const orders = makeOrders({
+    state,
+    workers: {
+      async start() {
+        sent += 1;
+        if (sent > 1) return undefined;
+        // The answer is lost; then the worker lists the run, and the ticket expires.
+        run!.phase = RunPhase.Running;
+        setTimeout(() => {
+          run!.unsettled = false;
+        }, 20);
+        return Rejection.Unknown;
+      },
+    } as Partial<Workers> as Workers,
+    clock: systemClock,
+    log: silentLog,
+    fencingToken: 1,
+    linkOf: () => ({ leaseUntilMs: () => 1_000 }) as Partial<WorkerLink> as WorkerLink,
+    isOver: () => false,
+    onRejected: (_run, rejection) => rejected.push(rejection),
+    onStarted: () => undefined,
+    onFenced: () => undefined,
+  });
+  await orders.start(run!);
+  assert.equal(rejected, []);
+  assert.is(sent, 2, 'the same start is sent again, which is idempotent');
+});
+
+test.run();
