Describe the scheduler as callers see it once, and make its batches with one function

The front end and the host each declared the same three calls, and the client made three batches that differed in the call and in the result without an answer. CellAccess is now the one type; batchesOf makes the batches. Behaviour and tests are unchanged: a call without a reachable scheduler gets the same results as before (not taken, undefined, false).

--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -17,15 +17,9 @@
 import type { AcceptedJob, JobSpec, Organisation, Queue, Store } from '../model/mod.ts';
 import { errorAnswer, passOn as passOnTo, refusal, success } from './_answers.ts';
 import type { ClientAnswer, ClientCall, Relay } from './_answers.ts';
+import type { CellAccess } from './cell_access.ts';
 import type { RouteTable } from './routes.ts';
 
-/** The scheduler of the cell, as the front end uses it. */
-export interface CellAccess {
-  submit(job: AcceptedJob): Promise<Submission>;
-  stateOf(jobId: string): Promise<JobState | undefined>;
-  cancel(jobId: string): Promise<boolean>;
-}
-
 /** What the front end uses. */
 export interface FrontOptions {
   store: Store;
--- a/src/host/cell_client.ts
+++ b/src/host/cell_client.ts
@@ -11,20 +11,13 @@
 import type { Clock } from '../clock/mod.ts';
 import { Kind, refuse } from '../errors/mod.ts';
 import type { Failure, Outcome } from '../errors/mod.ts';
+import type { CellAccess } from '../front/mod.ts';
 import type { Log } from '../logs/mod.ts';
 import type { AcceptedJob, JobState } from '../model/mod.ts';
 import { makeBatches } from './batches.ts';
+import type { Batches } from './batches.ts';
 import type { PeerClient } from './peers.ts';
 
-/** The scheduler of the cell, as an entry process calls it. */
-export interface CellClient {
-  submit(job: AcceptedJob): Promise<Submission>;
-  /** The stored state; undefined when the scheduler does not answer or does not know the job. */
-  stateOf(jobId: string): Promise<JobState | undefined>;
-  /** Cancels a job; false when that may not be stored. */
-  cancel(jobId: string): Promise<boolean>;
-}
-
 /** What the client uses. */
 export interface CellClientOptions {
   clock: Clock;
@@ -47,7 +40,7 @@
  * @example
  * const outcome = await cell.submit(job);
  */
-export function makeCellClient(options: CellClientOptions): CellClient {
+export function makeCellClient(options: CellClientOptions): CellAccess {
   const { clock, log, peers, ownService, otherScheduler } = options;
   let avoided = { instance: '', untilMs: 0 };
 
@@ -78,56 +71,44 @@
 
   async function call<Result>(
     send: (address: string) => Outcome<Result[]>,
-    failed: (kind: Kind) => Result[] | undefined,
-  ): Promise<Result[] | undefined> {
+  ): Promise<Either<Failure, Result[]>> {
     const target = address();
-    if (target === undefined) return failed(Kind.PeerUnavailable);
+    if (target === undefined) {
+      return refuse(Kind.PeerUnavailable, 'no other process that answers is the scheduler');
+    }
     const ended = new AbortController();
     const result = await Promise.race<Either<Failure, Result[]>>([
       send(target),
       silenceOf(target, ended.signal),
     ]);
     ended.abort();
-    return result.caseOf({
-      Left: (problem) => {
-        avoid(problem);
-        return failed(problem.kind);
+    return result.ifLeft(avoid);
+  }
+
+  /** Batches of one kind of request; `resultWithout` says what a request without an answer gets. */
+  function batchesOf<Request, Result>(
+    send: (address: string, requests: Request[]) => Outcome<Result[]>,
+    resultWithout: (kind: Kind) => Result,
+  ): Batches<Request, Result> {
+    return makeBatches({
+      async send(requests) {
+        const answer = await call((target) => send(target, requests));
+        return answer.caseOf({
+          Left: ({ kind }) => requests.map(() => resultWithout(kind)),
+          Right: (results) => results,
+        });
       },
-      Right: (answers): Result[] | undefined => answers,
+      otherwise: resultWithout(Kind.OutcomeUnknown),
+      maxUnderWay: maxBatches,
+      maxRequests,
     });
   }
 
-  const submissions = makeBatches<AcceptedJob, Submission>({
-    send: (jobs) =>
-      call(
-        (target) => peers.submit(target, jobs),
-        (kind) =>
-          jobs.map(() => (kind === Kind.OutcomeUnknown ? Submission.Unknown : Submission.NotTaken)),
-      ),
-    otherwise: Submission.Unknown,
-    maxUnderWay: maxBatches,
-    maxRequests,
-  });
-  const states = makeBatches<string, JobState | undefined>({
-    send: (ids) =>
-      call(
-        (target) => peers.states(target, ids),
-        () => undefined,
-      ),
-    otherwise: undefined,
-    maxUnderWay: maxBatches,
-    maxRequests,
-  });
-  const cancellations = makeBatches<string, boolean>({
-    send: (ids) =>
-      call(
-        (target) => peers.cancel(target, ids),
-        () => undefined,
-      ),
-    otherwise: false,
-    maxUnderWay: maxBatches,
-    maxRequests,
-  });
+  const submissions = batchesOf<AcceptedJob, Submission>(peers.submit, (kind) =>
+    kind === Kind.OutcomeUnknown ? Submission.Unknown : Submission.NotTaken,
+  );
+  const states = batchesOf<string, JobState | undefined>(peers.states, () => undefined);
+  const cancellations = batchesOf<string, boolean>(peers.cancel, () => false);
 
   return {
     submit: (job) => ownService()?.submit(job) ?? submissions.ask(job),
