Keep a run whose start reached the next incarnation of its worker

Cause: an order names a worker by its id, which outlives an incarnation. The first renewal after a silence also confirmed ends by the former numbering, so ends of the new incarnation could be forgotten unread.

Change: runs that the present incarnation lists, or may still begin, are adopted. After a silence nothing is confirmed until the worker has answered. A new incarnation may keep a run for the longest lease that a worker grants.

--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -96,6 +96,7 @@
       entry: () => worker.entry,
       fencingToken: claim.epoch,
       leaseMs: Math.min(leaseMs, term.maxLeaseMs),
+      maxLeaseMs: term.maxLeaseMs,
       predecessorUntilMs: term.predecessorUntilMs,
       mayRenew: () => clock.now() - journal.confirmedAtMs() < renewWithoutStoreMs,
       onReport: (report, sentAtMs) => takeReport(worker, report, sentAtMs),
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -29,6 +29,8 @@
   fencingToken: number;
   /** Lease that is asked for. */
   leaseMs: number;
+  /** Longest lease that a worker grants. */
+  maxLeaseMs: number;
   /** Monotonic time until which a predecessor's orders may keep runs alive. */
   predecessorUntilMs: number;
   /** Whether renewals still may be sent. */
@@ -70,7 +72,12 @@
   }
 
   async function take(report: WorkerReport, sentAtMs: number): Promise<void> {
-    if (bornMs !== undefined && report.bornMs !== bornMs) lastSeen = 0;
+    if (bornMs !== undefined && report.bornMs !== bornMs) {
+      lastSeen = 0;
+      // An order with a lease end by the former clock, which may lie far ahead, may have arrived.
+      const longestMs = options.maxLeaseMs * clockSlowness + deadSlackMs;
+      deadAtMs = Math.max(deadAtMs, clock.now() + longestMs);
+    }
     bornMs = report.bornMs;
     reading = { workerMs: report.clockMs, atMs: clock.now() };
     const newest = Math.max(0, ...report.ended.map(({ sequence }) => sequence));
@@ -86,7 +93,8 @@
     const until = leaseUntilMs();
     const result = await workers.renew(entry(), {
       fencingToken,
-      lastSeen,
+      // After a silence the worker may be another incarnation, which numbers its ends anew.
+      lastSeen: until === undefined ? 0 : lastSeen,
       ...(until === undefined ? {} : { leaseUntilMs: until }),
       waitMs: until === undefined ? 0 : renewWaitMs,
     });
--- a/src/cell/worker_link_test.ts
+++ b/src/cell/worker_link_test.ts
@@ -19,7 +19,7 @@
 function setUp(answers: (WorkerReport | Rejection)[]) {
   const abort = new AbortController();
   const renewals: Renewal[] = [];
-  const events = { fenced: false, stored: true, neverStores: false };
+  const events = { fenced: false, stored: true, neverStores: false, reportedAtMs: 0 };
   let nowMs = 0;
   const clock: Clock = {
     ...systemClock,
@@ -48,9 +48,13 @@
     entry: () => workerEntry('w1'),
     fencingToken: 7,
     leaseMs: 4_000,
+    maxLeaseMs: 6_000,
     predecessorUntilMs: 0,
     mayRenew: () => true,
-    onReport: () => (events.neverStores ? never : Promise.resolve(events.stored)),
+    onReport() {
+      events.reportedAtMs = nowMs;
+      return events.neverStores ? never : Promise.resolve(events.stored);
+    },
     onSilence: () => undefined,
     onFenced() {
       events.fenced = true;
@@ -120,6 +124,30 @@
   );
 });
 
+test('ends of an incarnation that nobody has read are not confirmed after a silence', async () => {
+  const { renewals, run } = setUp([
+    report(0, { ended: [ended(57)] }),
+    Rejection.Unknown,
+    report(5, { bornMs: 2, ended: [ended(1)] }),
+    report(9, { bornMs: 2 }),
+  ]);
+  await run();
+  assert.equal(
+    renewals.map(({ lastSeen }) => lastSeen),
+    [0, 57, 0, 1],
+  );
+});
+
+test('a start that reached a new incarnation may live for the longest lease of that worker', async () => {
+  const { link, events, run } = setUp([
+    report(50_000),
+    report(5, { bornMs: 2 }),
+    Rejection.Unknown,
+  ]);
+  await run();
+  assert.ok(link.deadAtMs() >= events.reportedAtMs + 6_000);
+});
+
 test('a worker that has seen a higher token ends the term', async () => {
   const { events, run } = setUp([Rejection.Fenced]);
   await run();
--- a/src/scheduler/workers.ts
+++ b/src/scheduler/workers.ts
@@ -57,6 +57,20 @@
   return run.phase === RunPhase.Ordered || run.unsettled || run.progressAtMs >= sentAtMs;
 }
 
+/**
+ * Makes runs of earlier incarnations that the present one lists, or may still begin, runs of the present
+ * one: an order names a worker by its id, which outlives an incarnation.
+ */
+function adoptRuns(
+  worker: Worker,
+  { bornMs }: WorkerReport,
+  isPresent: (run: Run) => boolean,
+): void {
+  worker.runs.forEach((run) => {
+    if (run.bornMs !== bornMs && isPresent(run)) run.bornMs = bornMs;
+  });
+}
+
 /**
  * Compares a report with what is believed of the worker and notes progress.
  *
@@ -74,18 +88,18 @@
   worker.bornMs = report.bornMs;
   worker.isAnswering = true;
   worker.isSettled = true;
+  const listed = new Set([...report.running, ...report.ended].map(keyOf));
+  const mayStart = (run: Run) => !isFirst && mayStillStart(run, sentAtMs);
+  adoptRuns(worker, report, (run) => listed.has(runKey(run)) || mayStart(run));
   noteProgress(worker, report, nowMs);
   const runs = [...worker.runs.values()];
-  // Of the runs of earlier incarnations the present one knows nothing.
   const earlier = runs.filter(({ bornMs }) => bornMs !== report.bornMs);
   const own = runs.filter(({ bornMs }) => bornMs === report.bornMs);
   const reported = report.ended.flatMap(({ task, attempt, end, checkpoint }) => {
     const run = worker.runs.get(keyOf({ task, attempt }));
     return run && own.includes(run) ? [{ run, end, checkpoint }] : [];
   });
-  const listed = new Set([...report.running, ...report.ended].map(keyOf));
-  const missing = own.filter((run) => !listed.has(runKey(run)));
-  const lost = isFirst ? missing : missing.filter((run) => !mayStillStart(run, sentAtMs));
+  const lost = own.filter((run) => !listed.has(runKey(run)) && !mayStart(run));
   const ends = [...earlier.map(lostRun), ...reported, ...lost.map(lostRun)];
   const strangers = report.running.filter((each) => !worker.runs.has(keyOf(each)));
   return { ends, strangers };
--- a/src/scheduler/workers_test.ts
+++ b/src/scheduler/workers_test.ts
@@ -60,6 +60,30 @@
   );
 });
 
+test('a start that reached the next incarnation of its worker is not taken to be lost', () => {
+  const state = cellWith(1);
+  submit(state, acceptedJob('a', [stepSpec({ count: 3 })]));
+  const [running, done, underWay] = startAll(state);
+  const worker = state.workers.get('w1')!;
+  underWay!.unsettled = true;
+  const { ends, strangers } = observe(
+    worker,
+    report({
+      bornMs: 2,
+      running: [listed(running!)],
+      ended: [{ ...listed(done!), sequence: 1, end: RunEnd.Done }],
+    }),
+    { nowMs: 10, sentAtMs: 5 },
+  );
+  assert.equal(
+    ends.map(({ run, end }) => [taskName(run), end]),
+    [[taskName(done!), RunEnd.Done]],
+  );
+  assert.is(strangers.length, 0);
+  assert.is(running!.bornMs, 2);
+  assert.is(underWay!.bornMs, 2);
+});
+
 test('an order under way when the list was made is not taken to be lost', () => {
   const state = cellWith(1);
   submit(state, acceptedJob('a', [stepSpec()]));
