Do not fail when a run is to be stopped at a worker whose address is unknown

Change: the stop waits until the worker is registered again or its lease has run out. Test: _orders_test, failed before.

--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -85,16 +85,22 @@
     });
   }
 
+  function sendStop(run: Run, worker: Worker): Promise<Rejection | undefined> {
+    // Of a worker that had left the registry when this term began only the id is known.
+    if (worker.entry.address === '') return Promise.resolve(Rejection.Unknown);
+    return workers.stop(worker.entry, {
+      task: taskName(run),
+      attempt: run.attempt,
+      fencingToken,
+    });
+  }
+
   async function stop(run: Run, reason: string): Promise<void> {
     if (run.phase === RunPhase.Stopping) return;
     run.phase = RunPhase.Stopping;
     logOrder('stop', run, { reason });
     for (let worker = isHeld(state, run); worker && !isOver(); worker = isHeld(state, run)) {
-      const outcome = await workers.stop(worker.entry, {
-        task: taskName(run),
-        attempt: run.attempt,
-        fencingToken,
-      });
+      const outcome = await sendStop(run, worker);
       if (outcome === Rejection.Fenced) {
         options.onFenced();
         return;
--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -12,7 +12,8 @@
 
 const test = suite('orders');
 
-test('a start that was sent is not taken back when its ticket expires before the answer', async () => {
+/** A run on the only worker of a cell, and orders through the given client. */
+function setUp(workers: Partial<Workers>, onRejected: (rejection: Rejection) => void = () => {}) {
   const state = cellWith(1);
   submit(state, acceptedJob('a', [stepSpec()]));
   const [run] = decide(state, {
@@ -23,34 +24,61 @@
     orderDelayMs: 0,
     takeAdviceSlot: () => 'slot',
   }).starts;
-  const ticket = { value: 't', bornMs: 1, validUntilMs: systemClock.now() + 30 };
-  run!.step.advice.tickets.set(run!.workerId, ticket);
-  const rejected: Rejection[] = [];
-  let sent = 0;
   const orders = makeOrders({
     state,
-    workers: {
-      async start() {
-        sent += 1;
-        if (sent > 1) return undefined;
-        // The answer is lost; then the worker lists the run, and the ticket expires.
-        run!.phase = RunPhase.Running;
-        setTimeout(() => {
-          run!.unsettled = false;
-        }, 20);
-        return Rejection.Unknown;
-      },
-    } as Partial<Workers> as Workers,
+    workers: workers as Workers,
     clock: systemClock,
     log: silentLog,
     fencingToken: 1,
     linkOf: () => ({ leaseUntilMs: () => 1_000 }) as Partial<WorkerLink> as WorkerLink,
     isOver: () => false,
-    onRejected: (_run, rejection) => rejected.push(rejection),
+    onRejected: (_run, rejection) => onRejected(rejection),
     onStarted: () => undefined,
     onFenced: () => undefined,
   });
-  await orders.start(run!);
+  return { state, run: run!, orders };
+}
+
+test('a stop at a worker that has left the registry waits until its address is known', async () => {
+  const asked: string[] = [];
+  const { state, run, orders } = setUp({
+    async stop({ address }) {
+      asked.push(address);
+      return undefined;
+    },
+  });
+  const worker = state.workers.get(run.workerId)!;
+  const { entry } = worker;
+  worker.entry = { ...entry, address: '' };
+  const stopping = orders.stop(run, 'job cancelled');
+  await systemClock.sleep(10);
+  assert.equal(asked, []);
+  worker.entry = entry;
+  await stopping;
+  assert.equal(asked, [entry.address]);
+});
+
+test('a start that was sent is not taken back when its ticket expires before the answer', async () => {
+  const rejected: Rejection[] = [];
+  let sent = 0;
+  const { run, orders } = setUp(
+    {
+      async start() {
+        sent += 1;
+        if (sent > 1) return undefined;
+        // The answer is lost; then the worker lists the run, and the ticket expires.
+        run.phase = RunPhase.Running;
+        setTimeout(() => {
+          run.unsettled = false;
+        }, 20);
+        return Rejection.Unknown;
+      },
+    },
+    (rejection) => rejected.push(rejection),
+  );
+  const ticket = { value: 't', bornMs: 1, validUntilMs: systemClock.now() + 30 };
+  run.step.advice.tickets.set(run.workerId, ticket);
+  await orders.start(run);
   assert.equal(rejected, []);
   assert.is(sent, 2, 'the same start is sent again, which is idempotent');
 });
