Look at jobs that can only be late ten times a second while many fresh ones wait

Change: they are skipped only while ten or more fresh jobs wait, and get all calls for tickets when none waits. Tests: overload_test (3).

--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -8,6 +8,7 @@
  * of a thousand jobs costs little: what cannot be served for a reason that holds for its whole queue or
  * organisation is passed over at once, and of what can only be late without worth a few are tried.
  */
+import { JobState } from '../model/mod.ts';
 import { occurrenceCount, stepsOf } from './jobs.ts';
 import { compareRanks, rankOf, Urgency } from './order.ts';
 import type { Rank } from './order.ts';
@@ -18,6 +19,10 @@
 import { fairShares } from './shares.ts';
 import type { CellState, Job, Step } from './state.ts';
 
+/** A job that can only be late without worth is looked at so often. */
+const lateRetryMs = 100;
+/** They are looked at in every pass while fewer jobs than this wait that still are worth something. */
+const manyFresh = 10;
 /** Steps without worth that a pass tries to place. */
 const maxTooLateTried = 24;
 
@@ -51,30 +56,51 @@
   return ready;
 }
 
+/** The steps whose turn has come. */
+interface RankedSteps {
+  steps: Record<Urgency, Step[]>;
+  /** Jobs that wait and still are worth something. */
+  freshJobs: number;
+}
+
 /** The steps whose turn has come, by urgency; of each urgency in order, but those without worth. */
-function rankSteps(
-  state: CellState,
-  { queues }: Lookup,
-  inputs: DecisionInputs,
-): Record<Urgency, Step[]> {
+function rankSteps(state: CellState, { queues }: Lookup, inputs: DecisionInputs): RankedSteps {
   const ranked: Record<Urgency, { step: Step; rank: Rank }[]> = {
     [Urgency.InTime]: [],
     [Urgency.Late]: [],
     [Urgency.TooLate]: [],
   };
+  let freshJobs = 0;
+  function rankJob(job: Job): void {
+    const steps = readySteps(job, inputs).map((step) => ({
+      step,
+      rank: rankOf(step, termsOf(job, queues.get(job.accepted.queue)), inputs.nowMs),
+    }));
+    steps.forEach((each) => ranked[each.rank.urgency].push(each));
+    const isTooLate =
+      steps.length > 0 && steps.every(({ rank }) => rank.urgency === Urgency.TooLate);
+    if (isTooLate && !job.accepted.spec.repetition) {
+      job.skippedUntilMs = inputs.nowMs + lateRetryMs;
+    } else if (job.state === JobState.Queued) {
+      freshJobs += 1;
+    }
+  }
+  const skipped: Job[] = [];
   state.active.forEach((job) => {
-    readySteps(job, inputs).forEach((step) => {
-      const rank = rankOf(step, termsOf(job, queues.get(job.accepted.queue)), inputs.nowMs);
-      ranked[rank.urgency].push({ step, rank });
-    });
+    if (job.skippedUntilMs > inputs.nowMs) skipped.push(job);
+    else rankJob(job);
   });
+  if (freshJobs < manyFresh) skipped.forEach(rankJob);
   const stepsOfUrgency = (urgency: Urgency) => ranked[urgency].map(({ step }) => step);
   ranked[Urgency.InTime].sort((a, b) => compareRanks(a.rank, b.rank));
   ranked[Urgency.Late].sort((a, b) => compareRanks(a.rank, b.rank));
   return {
-    [Urgency.InTime]: stepsOfUrgency(Urgency.InTime),
-    [Urgency.Late]: stepsOfUrgency(Urgency.Late),
-    [Urgency.TooLate]: stepsOfUrgency(Urgency.TooLate),
+    freshJobs,
+    steps: {
+      [Urgency.InTime]: stepsOfUrgency(Urgency.InTime),
+      [Urgency.Late]: stepsOfUrgency(Urgency.Late),
+      [Urgency.TooLate]: stepsOfUrgency(Urgency.TooLate),
+    },
   };
 }
 
@@ -134,12 +160,12 @@
     shares: fairShares(state, configuration, usable),
     decisions,
   };
-  const inOrder = rankSteps(state, lookup, inputs);
+  const { steps, freshJobs } = rankSteps(state, lookup, inputs);
   [Urgency.InTime, Urgency.Late].forEach((urgency) => {
-    placeSteps(pass, inOrder[urgency], true);
-    placeSteps(pass, inOrder[urgency], false);
+    placeSteps(pass, steps[urgency], true);
+    placeSteps(pass, steps[urgency], false);
   });
-  pass.isUrgent = false;
-  placeTooLate(pass, inOrder[Urgency.TooLate]);
+  pass.isUrgent = freshJobs === 0;
+  placeTooLate(pass, steps[Urgency.TooLate]);
   return decisions;
 }
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -72,6 +72,7 @@
       0,
     ),
     occurrences: new Map(),
+    skippedUntilMs: -Infinity,
   };
   state.jobs.set(accepted.id, job);
   state.active.add(job);
--- a/src/scheduler/overload_test.ts
+++ b/src/scheduler/overload_test.ts
@@ -12,6 +12,7 @@
 } from '../testing/fake_cell.ts';
 import { decide } from './decide.ts';
 import type { CellState } from './state.ts';
+import { takeAdvice } from './tickets.ts';
 
 const test = suite('decide under overload');
 
@@ -40,6 +41,64 @@
   );
 });
 
+test('passes that follow at once do not look again at jobs that can only be late', () => {
+  const state = cellWith(1, 4_000);
+  const lateMs = 100_000;
+  for (let index = 0; index < 10; index++) {
+    submit(state, acceptedJob(`late${index}`, [stepSpec({ cpu: 9_000 })]));
+  }
+  for (let index = 0; index < 20; index++) {
+    submit(state, acceptedJob(`fresh${index}`, [stepSpec({ cpu: 9_000 })]), lateMs);
+  }
+  const heldAt = (nowMs: number) => pass(state, nowMs).held.room;
+  assert.is(heldAt(lateMs), 30);
+  assert.is(heldAt(lateMs + 10), 20, 'only the fresh jobs');
+  assert.is(heldAt(lateMs + 100), 30);
+});
+
+test('late jobs get calls for tickets in every pass once no fresh job waits', () => {
+  const inQueue = queue({ advice: { decisionMs: 5, perWorkerMs: 0.1, validityMs: 2_000 } });
+  const state = cellWith(1, 4_000);
+  for (let index = 0; index < 10; index++) {
+    submit(state, acceptedJob(`late${index}`, [stepSpec()], { inQueue }));
+  }
+  const asked: boolean[] = [];
+  let slots = 0;
+  const passAt = (nowMs: number) =>
+    decide(state, {
+      nowMs,
+      wallMs: 0,
+      configuration: configuration([inQueue]),
+      evacuated: new Set(),
+      orderDelayMs: 0,
+      takeAdviceSlot(_expectedMs, isUrgent) {
+        asked.push(isUrgent);
+        slots -= 1;
+        return slots >= 0 ? 'slot' : undefined;
+      },
+    }).adviceRequests.length;
+  const calls = [100_000, 100_010, 100_020].map((nowMs) => {
+    slots = 2;
+    return passAt(nowMs);
+  });
+  assert.equal(calls, [2, 2, 2]);
+  assert.ok(
+    asked.every((isUrgent) => isUrgent),
+    'nothing more urgent needs the places',
+  );
+});
+
+test('a late job is looked at as soon as its tickets have come', () => {
+  const inQueue = queue({ advice: { decisionMs: 5, perWorkerMs: 0.1, validityMs: 2_000 } });
+  const config = configuration([inQueue]);
+  const state = cellWith(1, 4_000);
+  submit(state, acceptedJob('late', [stepSpec()], { inQueue }));
+  const nowMs = 100_000;
+  const [request] = pass(state, nowMs, { config }).adviceRequests;
+  takeAdvice(state, request!, [['w1', 'ticket']], { validUntilMs: nowMs + 2_000, nowMs });
+  assert.is(pass(state, nowMs + 10, { config }).starts.length, 1);
+});
+
 test('a backlog of a thousand late jobs does not keep a call for tickets from a fresh one', () => {
   const advice = { decisionMs: 5, perWorkerMs: 0.1, validityMs: 2_000 };
   const inQueue = queue({ advice });
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -109,6 +109,8 @@
   /** Work of one occurrence, as the client estimated it: thousandths of a core times milliseconds. */
   cpuMs: number;
   occurrences: Map<number, Step[]>;
+  /** Monotonic time before which passes skip the job, since it can only be late without worth. */
+  skippedUntilMs: number;
   /** Monotonic time of the final state, after which the rows are kept for a while. */
   endedAtMs?: number;
 }
--- a/src/scheduler/tickets.ts
+++ b/src/scheduler/tickets.ts
@@ -120,6 +120,7 @@
   const { step, workers } = request;
   const { advice } = step;
   advice.isPending = false;
+  step.job.skippedUntilMs = -Infinity;
   expectTasks(request, -1);
   if (!tickets) {
     workers.forEach((worker) => {
