Count held steps truly: steps without waiting tasks are not held, and a share is not a limit

Cause: held.limit showed about 100 steps in the logs of the grown sites; most were gangs that ran already, or steps beyond their share that the next round serves.

--- a/src/scheduler/_place_step.ts
+++ b/src/scheduler/_place_step.ts
@@ -179,10 +179,12 @@
   { withoutSlot }: Pass,
   step: Step,
   terms: QueueTerms,
-  allowedPlaces: number,
+  places: { withinLimit: number; withinShare: number },
 ): HoldReason | undefined {
   const { advice, plan, spec, job } = step;
-  if (allowedPlaces < (spec.gang ? spec.count : 1)) return HoldReason.Limit;
+  const needed = spec.gang ? spec.count : 1;
+  if (places.withinLimit < needed) return HoldReason.Limit;
+  if (places.withinShare < needed) return HoldReason.Share;
   if (!terms.advice) return undefined;
   if (advice.isPending) return HoldReason.AdvicePending;
   const needsCall = advice.tickets.size === 0 && !plan;
@@ -195,21 +197,20 @@
   const { accepted } = step.job;
   const queue = lookup.queues.get(accepted.queue);
   const terms = termsOf(step.job, queue);
+  const waiting = waitingTasks(step, nowMs);
+  if (waiting.length === 0) {
+    dropPlan(state, step);
+    return undefined;
+  }
   const withinLimit = placesWithinLimit(
     step,
     state.usage.get(accepted.organisation),
     lookup.organisations.get(accepted.organisation)?.upperLimit,
   );
   const withinShare = isWithinShare ? placesWithinShare(pass, step) : Infinity;
-  const allowedPlaces = Math.min(withinLimit, withinShare);
-  const reason = holdReasonOf(pass, step, terms, allowedPlaces);
+  const reason = holdReasonOf(pass, step, terms, { withinLimit, withinShare });
   if (reason !== undefined) return reason;
-  const waiting = waitingTasks(step, nowMs);
-  if (waiting.length === 0) {
-    dropPlan(state, step);
-    return undefined;
-  }
-  const wanted = Math.min(waiting.length, allowedPlaces);
+  const wanted = Math.min(waiting.length, withinLimit, withinShare);
   const eligible = eligibleWorkers(pass, step, queue?.service ?? accepted.service);
   if (!step.plan && !hasRoom(step, eligible.all)) return HoldReason.Room;
   if (terms.advice) {
--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -147,7 +147,7 @@
   const decisions: Decisions<Slot> = {
     starts: [],
     adviceRequests: [],
-    held: { limit: 0, room: 0, adviceSlot: 0, advicePending: 0, notAllowed: 0 },
+    held: { limit: 0, share: 0, room: 0, adviceSlot: 0, advicePending: 0, notAllowed: 0 },
   };
   const pass: Pass<Slot> = {
     ...inputs,
--- a/src/scheduler/pass.ts
+++ b/src/scheduler/pass.ts
@@ -7,8 +7,10 @@
 
 /** Why a step that has waiting tasks was not served in a pass. */
 export const HoldReason = {
-  /** Its organisation's upper limit or share is used up. */
+  /** Its organisation's upper limit is used up. */
   Limit: 'limit',
+  /** Its organisation's share is used up; it is tried again after work of the others. */
+  Share: 'share',
   /** No room on workers that may run it. */
   Room: 'room',
   /** No free call for tickets. */
