Replace a scheduler that the store turns away after 0.2 s, and prefer restarted hosts in a rolling restart

Change: the scheduler tells for how long all its writes have been rejected; a process that the store serves then reports it. Tests: scheduler_watch_test, leadership_test, journal_test, members_test.

--- a/src/cell/journal.ts
+++ b/src/cell/journal.ts
@@ -35,6 +35,11 @@
    * when no attempt has failed, however slow the store is.
    */
   failingMs(): number;
+  /**
+   * Time for which the store has certainly rejected all attempts of the transaction under way; 0 when
+   * none was made or one of them may have taken effect.
+   */
+  rejectedMs(): number;
   close(): void;
 }
 
@@ -106,6 +111,8 @@
   let confirmedAtMs = clock.now();
   let pendingSinceMs = clock.now();
   let hasFailed = false;
+  /** Time of the first attempt of the transaction under way, while all attempts were rejected. */
+  let rejectedSinceMs: number | undefined;
 
   function settleWaiters(): void {
     const oldest = Math.min(Infinity, ...[...dirty.values()].map((entry) => entry.generation));
@@ -172,6 +179,8 @@
       Left: (problem) => {
         if (problem.kind === Kind.TableConflict) return judgeConflict(problem, value);
         latencyMs += latencyWeight * (clock.now() - startedAtMs - latencyMs);
+        if (problem.kind === Kind.TableUnavailable) rejectedSinceMs ??= startedAtMs;
+        else rejectedSinceMs = undefined;
         return 'again';
       },
     });
@@ -185,6 +194,7 @@
       if (outcome === 'stored') {
         confirmedAtMs = clock.now();
         hasFailed = false;
+        rejectedSinceMs = undefined;
         onStored.forEach((notify) => notify());
         return;
       }
@@ -252,6 +262,7 @@
     },
     latencyMs: () => latencyMs,
     confirmedAtMs: () => confirmedAtMs,
+    rejectedMs: () => (rejectedSinceMs === undefined ? 0 : clock.now() - rejectedSinceMs),
     failingMs: () => (hasFailed ? clock.now() - pendingSinceMs : 0),
     close,
   };
--- a/src/cell/journal_test.ts
+++ b/src/cell/journal_test.ts
@@ -120,4 +120,21 @@
   }
 });
 
+test('only a store that rejects every attempt counts as rejecting', async () => {
+  const store = makeFakeStore();
+  const { journal } = await open(store);
+  const seen: number[] = [];
+  const fates: Fate[] = ['rejected', 'rejected', 'lost', 'rejected', 'done'];
+  store.setFate(() => {
+    seen.push(journal.rejectedMs());
+    return fates.shift()!;
+  });
+  journal.mark(progressRow('j1'), () => 'one');
+  assert.ok(await journal.flush());
+  assert.is(seen[0], 0);
+  assert.ok(seen[2]! > 0, 'two attempts were rejected');
+  assert.is(seen[3], 0, 'the third may have taken effect');
+  assert.is(journal.rejectedMs(), 0);
+});
+
 test.run();
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -50,6 +50,8 @@
   reportRejected(instance: string): void;
   /** Tells that a scheduler does not answer calls, or answers that the store does not answer it. */
   reportSilent(instance: string): void;
+  /** Tells that the store rejects what a scheduler writes, while it serves this process. */
+  reportTurnedAway(instance: string): void;
   /** Gives the claim back, if this process holds it. */
   resign(timeoutMs: number): Promise<void>;
 }
@@ -80,6 +82,7 @@
 const claimTimeoutMs = 3_000;
 /** Why a claim is made after a silence in which the predecessor may go on. */
 const heartbeatStopped = 'the heartbeat of the scheduler has stopped';
+const turnedAway = 'the store turns the scheduler away';
 
 /**
  * Makes the election.
@@ -97,6 +100,7 @@
   let signAtMs = clock.now();
   let rejectedInstance: string | undefined;
   let silentInstance: string | undefined;
+  let turnedAwayInstance: string | undefined;
   let wonEpoch = 0;
 
   function takeClaim(row: StoredRow): void {
@@ -120,6 +124,7 @@
     } = JSON.parse(row.value) as Partial<Heartbeat> & Pick<Heartbeat, 'epoch'>;
     heartbeat = { epoch, pending, busyQueues, beyondShare, seenAtMs: clock.now() };
     silentInstance = undefined;
+    turnedAwayInstance = undefined;
     signAtMs = clock.now();
   }
 
@@ -142,6 +147,7 @@
     if (claim.instance === '') return 'the scheduler has resigned';
     if (claim.name === self.name) return 'the scheduler was an earlier start of this process';
     if (claim.instance === rejectedInstance) return 'the host of the scheduler rejects connections';
+    if (claim.instance === turnedAwayInstance) return turnedAway;
     const isSilent = claim.instance === silentInstance;
     const timeoutMs = isSilent ? silentHeartbeatTimeoutMs : heartbeatTimeoutMs;
     if (nowMs - signAtMs > timeoutMs) return heartbeatStopped;
@@ -175,7 +181,7 @@
         onWon({
           epoch,
           sequence: { version, value: sequenceValue },
-          predecessorMayAct: reason === heartbeatStopped,
+          predecessorMayAct: reason === heartbeatStopped || reason === turnedAway,
         });
       },
     });
@@ -202,6 +208,9 @@
     reportSilent(instance) {
       silentInstance = instance;
     },
+    reportTurnedAway(instance) {
+      turnedAwayInstance = instance;
+    },
     async resign(timeoutMs) {
       if (claim?.instance !== self.instance) return;
       const resigned: Claim = { ...claim, instance: '' };
--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -100,4 +100,16 @@
     assert.is(second.won[0]!.predecessorMayAct, false);
   }));
 
+test('a scheduler that the store turns away is replaced at once, and may still renew leases', () =>
+  withAbort(async (signal) => {
+    const store = makeFakeStore();
+    const first = candidate(store, 'a', signal, () => first.won.length === 0);
+    await until(() => first.won.length > 0);
+    const second = candidate(store, 'b', signal);
+    await until(() => second.leadership.claim() !== undefined);
+    second.leadership.reportTurnedAway('a-1');
+    await until(() => second.won.length > 0);
+    assert.is(second.won[0]!.predecessorMayAct, true);
+  }));
+
 test.run();
--- a/src/cell/members.ts
+++ b/src/cell/members.ts
@@ -13,18 +13,26 @@
   processors: number;
   /** Client connections that were open when the row was written. */
   clients: number;
+  /** The process was started a short while ago in a system that was running. */
+  isJustRestarted: boolean;
 }
 
 /**
  * The members as candidates for the scheduler's role: those with more processors first, then those
- * with fewer clients.
+ * with fewer clients. When the scheduler was stopped as planned, the others may be stopped in turn, so
+ * those come first that have been restarted already.
  *
  * @example
- * candidates(members).findIndex(({ name }) => name === self.name); // 0 for the best
+ * candidates(members, { isPlanned: false }).findIndex(({ name }) => name === self.name); // 0 for the best
  */
-export function candidates(members: Member[]): Member[] {
+export function candidates(members: Member[], { isPlanned }: { isPlanned: boolean }): Member[] {
+  const byRestart = (a: Member, b: Member) => Number(b.isJustRestarted) - Number(a.isJustRestarted);
   return [...members].sort(
-    (a, b) => b.processors - a.processors || a.clients - b.clients || (a.name < b.name ? -1 : 1),
+    (a, b) =>
+      b.processors - a.processors ||
+      (isPlanned ? byRestart(a, b) : 0) ||
+      a.clients - b.clients ||
+      (a.name < b.name ? -1 : 1),
   );
 }
 
--- /dev/null
+++ b/src/cell/members_test.ts
@@ -0,0 +1,43 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { candidates } from './members.ts';
+import type { Member } from './members.ts';
+
+const test = suite('members');
+
+function member(name: string, fields: Partial<Member> = {}): Member {
+  return {
+    name,
+    instance: `${name}-1`,
+    address: '10.0.0.1:7420',
+    dataCentre: 'north',
+    processors: 1,
+    clients: 0,
+    isJustRestarted: false,
+    ...fields,
+  };
+}
+
+function order(members: Member[], isPlanned: boolean): string {
+  return candidates(members, { isPlanned })
+    .map(({ name }) => name)
+    .join(' ');
+}
+
+test('a rolling restart does not hand the role to hosts that are still to be stopped', () => {
+  const members = [
+    member('a'),
+    member('b', { clients: 3, isJustRestarted: true }),
+    member('c', { clients: 1 }),
+  ];
+  assert.is(order(members, true), 'b a c');
+  assert.is(order(members, false), 'a c b', 'after a failure the age of a process says nothing');
+});
+
+test('a restarted host with less processor is no better a scheduler', () => {
+  const members = [member('small', { processors: 0.3, isJustRestarted: true }), member('large')];
+  assert.is(order(members, true), 'large small');
+});
+
+test.run();
--- a/src/cell/mod.ts
+++ b/src/cell/mod.ts
@@ -9,4 +9,4 @@
 export * from './service.ts';
 export * from './term.ts';
 export type { TermOptions, Wishes } from './_term_state.ts';
-export { acceptedRow, cancellationRow, jobRow, progressRow } from './rows.ts';
+export { acceptedRow, cancellationRow, claimRow, jobRow, progressRow } from './rows.ts';
--- a/src/cell/service.ts
+++ b/src/cell/service.ts
@@ -34,6 +34,8 @@
   cancel(jobId: string): Promise<boolean>;
   /** Time for which the store has answered no attempt to write; 0 while it answers, if slowly. */
   storeFailingMs(): number;
+  /** Time for which the store has certainly rejected all that this process writes. */
+  storeRejectedMs(): number;
 }
 
 /** What the service asks other parts of the term. */
@@ -122,5 +124,6 @@
     },
 
     storeFailingMs: journal.failingMs,
+    storeRejectedMs: journal.rejectedMs,
   };
 }
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -1,8 +1,6 @@
 /**
  * Wires up one entry process on the users' platform.
  */
-import { randomBytes } from 'node:crypto';
-
 import { candidates, makeLeadership, makeTerm } from '../cell/mod.ts';
 import type { Heartbeat, Leadership, Member, SchedulerTerm, WonClaim } from '../cell/mod.ts';
 import type { Clock, Random } from '../clock/mod.ts';
@@ -31,6 +29,7 @@
 import { makeHostAdvicePool } from './host_advice_pool.ts';
 import { makeCellClient } from './cell_client.ts';
 import { makeMembership } from './membership.ts';
+import { makeOwnMember } from './own_member.ts';
 import { makePeerGroup } from './peer_group.ts';
 import { makePeerClient, servePeers } from './peers.ts';
 import { makeSchedulerWatch } from './scheduler_watch.ts';
@@ -63,7 +62,6 @@
 const heartbeatAgeLimitMs = 1_900;
 const freshnessMarginMs = 350;
 const claimDelayPerRankMs = 50;
-const instanceBytes = 4;
 const drainNoticeMs = 2_300;
 const drainPollMs = 50;
 const graceMarginMs = 900;
@@ -81,21 +79,15 @@
   const storeHealth = watchStore(options.store);
   const { store } = storeHealth;
   const over = new AbortController();
-  const self: Member = {
-    name: settings.name,
-    instance: randomBytes(instanceBytes).toString('hex'),
-    address: `${settings.ip}:${settings.peerPort}`,
-    dataCentre: settings.dataCentre,
-    processors: settings.processors,
-    clients: 0,
-  };
+  const ownMember = makeOwnMember(settings, clock);
+  const { first: self } = ownMember;
   const peers = makePeerClient(clock);
   let servers: Awaited<ReturnType<typeof listen>>[] = [];
   const membership = makeMembership({
     store,
     clock,
     log: logs.host,
-    self: () => ({ ...self, clients: servers[0]?.openConnections() ?? 0 }),
+    self: () => ownMember.now(servers[0]?.openConnections() ?? 0),
   });
   let term: SchedulerTerm | undefined;
   let isDraining = false;
@@ -162,9 +154,10 @@
     log: logs.cell,
     self: { name: self.name, instance: self.instance, address: self.address },
     claimDelayMs() {
-      const past = election.leadership?.claim()?.name;
-      const members = membership.members().filter(({ name }) => name !== past);
-      const rank = candidates(members).findIndex(({ name }) => name === self.name);
+      const past = election.leadership?.claim();
+      const members = membership.members().filter(({ name }) => name !== past?.name);
+      const isPlanned = past?.instance === '';
+      const rank = candidates(members, { isPlanned }).findIndex(({ name }) => name === self.name);
       return Math.max(0, rank) * claimDelayPerRankMs;
     },
     mayClaim: () => !isDraining && wishes.current() !== undefined,
@@ -191,7 +184,8 @@
     return isFresh ? heartbeat : undefined;
   }
 
-  const schedulerWatch = makeSchedulerWatch({ clock, peers, leadership, self });
+  const { isServing: isStoreServing } = storeHealth;
+  const schedulerWatch = makeSchedulerWatch({ clock, peers, leadership, isStoreServing, self });
 
   const cell = makeCellClient({
     clock,
--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -40,6 +40,8 @@
   isRefused: boolean;
   /** Time for which the store has answered none of its attempts to write, as scheduler. */
   storeFailingMs: number;
+  /** Time for which the store has rejected all that the process writes as scheduler. */
+  storeRejectedMs: number;
 }
 
 /** Calls to other processes. */
@@ -108,6 +110,7 @@
       return json(200, {
         instance: service.instance(),
         storeFailingMs: service.cell()?.storeFailingMs() ?? 0,
+        storeRejectedMs: service.cell()?.storeRejectedMs() ?? 0,
       });
     if (path === '/wishes') {
       const message = service.wishes();
@@ -200,12 +203,15 @@
         path: '/ping',
         timeoutMs: pingTimeoutMs,
       });
-      if (isNoAnswer(answer)) return { isRefused: answer.isRefused, storeFailingMs: 0 };
-      const { instance, storeFailingMs } = answer.body;
+      if (isNoAnswer(answer)) {
+        return { isRefused: answer.isRefused, storeFailingMs: 0, storeRejectedMs: 0 };
+      }
+      const { instance, storeFailingMs, storeRejectedMs } = answer.body;
       return {
         instance: String(instance),
         isRefused: false,
         storeFailingMs: Number(storeFailingMs),
+        storeRejectedMs: Number(storeRejectedMs),
       };
     },
   };
--- a/src/host/scheduler_watch.ts
+++ b/src/host/scheduler_watch.ts
@@ -20,12 +20,16 @@
   clock: Clock;
   peers: PeerClient;
   leadership: Leadership;
+  /** Whether the store serves this process now. */
+  isStoreServing(): Promise<boolean>;
   self: Pick<Member, 'instance'>;
 }
 
 const pingEveryMs = 250;
 /** A scheduler without an answer, or without the store, for so long is reported as silent. */
 const troubleMs = 650;
+/** One whose writes the store has rejected for so long is reported when the store serves others. */
+const rejectedMs = 200;
 
 /**
  * Makes the watch.
@@ -35,7 +39,7 @@
  * await watch.run(signal);
  */
 export function makeSchedulerWatch(options: SchedulerWatchOptions): SchedulerWatch {
-  const { clock, peers, leadership, self } = options;
+  const { clock, peers, leadership, isStoreServing, self } = options;
   let soundAt = { instance: '', atMs: 0 };
   let silentInstance: string | undefined;
 
@@ -46,7 +50,9 @@
   }
 
   async function ping(claim: Claim): Promise<void> {
-    const { instance, isRefused, storeFailingMs } = await peers.ping(claim.address);
+    const { instance, isRefused, storeFailingMs, storeRejectedMs } = await peers.ping(
+      claim.address,
+    );
     silentInstance = instance === claim.instance ? undefined : claim.instance;
     const isGone = isRefused || (instance !== undefined && instance !== claim.instance);
     if (isGone) leadership.reportRejected(claim.instance);
@@ -55,6 +61,9 @@
     }
     // A scheduler that answers was sound until the store began to fail it.
     if (instance !== undefined) soundAt.atMs = clock.now() - storeFailingMs;
+    if (storeRejectedMs >= rejectedMs && (await isStoreServing())) {
+      leadership.reportTurnedAway(claim.instance);
+    }
     if (clock.now() - soundAt.atMs > troubleMs) leadership.reportSilent(claim.instance);
   }
 
--- a/src/host/scheduler_watch_test.ts
+++ b/src/host/scheduler_watch_test.ts
@@ -10,7 +10,10 @@
 const test = suite('watch of the scheduler');
 
 /** Plays pings, 250 ms apart; tells what was reported at which time. */
-async function play(pongs: Pong[]): Promise<[report: string, atMs: number][]> {
+async function play(
+  pongs: Pong[],
+  { isStoreServing = true } = {},
+): Promise<[report: string, atMs: number][]> {
   let nowMs = 0;
   const reports: [string, number][] = [];
   const over = new AbortController();
@@ -27,6 +30,7 @@
     claim: () => claim,
     reportRejected: () => reports.push(['rejected', nowMs]),
     reportSilent: () => reports.push(['silent', nowMs]),
+    reportTurnedAway: () => reports.push(['turned away', nowMs]),
   } as Partial<Leadership> as Leadership;
   const peers = {
     async ping() {
@@ -35,11 +39,23 @@
       return pong!;
     },
   } as Partial<PeerClient> as PeerClient;
-  await makeSchedulerWatch({ clock, peers, leadership, self: { instance: 'b' } }).run(over.signal);
+  await makeSchedulerWatch({
+    clock,
+    peers,
+    leadership,
+    isStoreServing: async () => isStoreServing,
+    self: { instance: 'b' },
+  }).run(over.signal);
   return reports;
 }
 
-const sound = { instance: 'a', isRefused: false, storeFailingMs: 0 };
+const sound = { instance: 'a', isRefused: false, storeFailingMs: 0, storeRejectedMs: 0 };
+
+test('a scheduler that the store turns away is reported sooner, if the store serves others', async () => {
+  const rejected = { ...sound, storeFailingMs: 230, storeRejectedMs: 230 };
+  assert.equal(await play([sound, rejected]), [['turned away', 500]]);
+  assert.equal(await play([sound, rejected], { isStoreServing: false }), []);
+});
 
 test('a scheduler that the store fails is reported once that has lasted, not twice as long', async () => {
   const failing = [250, 500, 750].map((storeFailingMs) => ({ ...sound, storeFailingMs }));
@@ -47,13 +63,13 @@
 });
 
 test('a scheduler without an answer is reported after a while, and one that answers again is not', async () => {
-  const silent = { isRefused: false, storeFailingMs: 0 };
+  const silent = { isRefused: false, storeFailingMs: 0, storeRejectedMs: 0 };
   assert.equal(await play([sound, silent, silent, sound, silent, silent]), []);
   assert.equal(await play([sound, silent, silent, silent]), [['silent', 1_000]]);
 });
 
 test('a scheduler whose host rejects connections, or runs another instance, is reported at once', async () => {
-  const refused = { isRefused: true, storeFailingMs: 0 };
+  const refused = { isRefused: true, storeFailingMs: 0, storeRejectedMs: 0 };
   assert.equal(await play([refused]), [['rejected', 250]]);
   assert.equal(await play([{ ...sound, instance: 'c' }]), [['rejected', 250]]);
 });
--- a/src/host/store_health.ts
+++ b/src/host/store_health.ts
@@ -2,6 +2,7 @@
  * Watches whether the store answers this process, so that calls which need it are refused at once
  * while it does not.
  */
+import { claimRow } from '../cell/mod.ts';
 import { Kind } from '../errors/mod.ts';
 import type { Outcome } from '../errors/mod.ts';
 import type { Store } from '../model/mod.ts';
@@ -11,6 +12,8 @@
   store: Store;
   /** Whether calls have failed lately and none has succeeded since. */
   isDown(): boolean;
+  /** Asks the store whether it serves this process now. */
+  isServing(): Promise<boolean>;
 }
 
 const failuresToDown = 3;
@@ -37,6 +40,7 @@
 
   return {
     isDown: () => failuresInRow >= failuresToDown,
+    isServing: async () => (await watched(inner.read(claimRow))).isRight(),
     store: {
       transact: (change, timeoutMs) => watched(inner.transact(change, timeoutMs)),
       read: (query) => watched(inner.read(query)),
