Tell callers whose jobs can wait to come back later than those of lookups

Change: Retry-After is a quarter of the time by which a job may begin late, between 1 and 3 s; 1 s where nothing is known of the job.

--- a/src/front/_answers.ts
+++ b/src/front/_answers.ts
@@ -13,6 +13,8 @@
   body: string;
   /** Another entry process has passed the call on. */
   isRelayed: boolean;
+  /** When to come back after a refusal; 1 s where nothing is known of the job. */
+  retryAfterS?: number;
 }
 
 /** The answer to a call. */
@@ -25,7 +27,7 @@
 const okStatus = 200;
 const unavailableStatus = 503;
 const unknownStatus = 504;
-const retryAfterS = 1;
+const defaultRetryAfterS = 1;
 
 /** A success. */
 export function success(body = '{}'): ClientAnswer {
@@ -33,7 +35,11 @@
 }
 
 /** A call that did not take effect and may be sent again later. */
-export function refusal(status: number, reason: string): ClientAnswer {
+export function refusal(
+  status: number,
+  reason: string,
+  retryAfterS = defaultRetryAfterS,
+): ClientAnswer {
   return { status, body: JSON.stringify({ error: reason }), retryAfterS };
 }
 
@@ -42,10 +48,10 @@
   return { status, body: JSON.stringify({ error: reason }) };
 }
 
-function giveUp(mayHaveRun: boolean): ClientAnswer {
+function giveUp({ retryAfterS }: ClientCall, mayHaveRun: boolean): ClientAnswer {
   return mayHaveRun
     ? errorAnswer(unknownStatus, 'the outcome is unknown, send the call again')
-    : refusal(unavailableStatus, 'the store is unavailable');
+    : refusal(unavailableStatus, 'the store is unavailable', retryAfterS);
 }
 
 /** Passes a call on; a Left when no other process answered it. */
@@ -63,10 +69,10 @@
   relay: Relay,
 ): Promise<ClientAnswer> {
   const isUnknown = problem.kind === Kind.TableUnknown;
-  if (call.isRelayed) return giveUp(isUnknown);
+  if (call.isRelayed) return giveUp(call, isUnknown);
   const relayed = await relay(call);
   return relayed.caseOf({
-    Left: ({ kind }) => giveUp(isUnknown || kind === Kind.OutcomeUnknown),
-    Right: (answer) => (isUnknown && answer.status !== okStatus ? giveUp(true) : answer),
+    Left: ({ kind }) => giveUp(call, isUnknown || kind === Kind.OutcomeUnknown),
+    Right: (answer) => (isUnknown && answer.status !== okStatus ? giveUp(call, true) : answer),
   });
 }
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -17,6 +17,7 @@
 import type { AcceptedJob, JobSpec, Organisation, Queue, Store } from '../model/mod.ts';
 import { errorAnswer, passOn as passOnTo, refusal, success } from './_answers.ts';
 import type { ClientAnswer, ClientCall, Relay } from './_answers.ts';
+import { retryAfterFor } from './_retry_after.ts';
 import type { CellAccess } from './cell_access.ts';
 import type { RouteTable } from './routes.ts';
 
@@ -116,19 +117,24 @@
           organisation: call.organisation,
           reason: 'the organisation is beyond its share and the queue is busy',
         });
-        return refusal(429, 'the organisation is beyond its share, and there is no room for more');
+        return refusal(
+          429,
+          'the organisation is beyond its share, and there is no room for more',
+          call.retryAfterS,
+        );
       },
     });
   }
 
-  async function accept(call: RoutedCall): Promise<ClientAnswer> {
-    const decoded = options.decodeJob(call.body);
+  async function accept(received: RoutedCall): Promise<ClientAnswer> {
+    const decoded = options.decodeJob(received.body);
     if (decoded.isLeft()) {
-      const problem = decoded.swap().orDefault(failure(Kind.MalformedRequest, ''));
-      log.info('job rejected', { event: 'job-rejected', id: call.jobId, reason: problem.message });
-      return errorAnswer(400, problem.message);
+      const { message } = decoded.swap().orDefault(failure(Kind.MalformedRequest, ''));
+      log.info('job rejected', { event: 'job-rejected', id: received.jobId, reason: message });
+      return errorAnswer(400, message);
     }
     const spec = decoded.extract() as JobSpec;
+    const call = { ...received, retryAfterS: retryAfterFor(received.queue, spec) };
     const job = acceptedJob(call, spec);
     const outcome = await cell.submit(job);
     if (outcome === Submission.Stored) return acceptedBy(call, 'the scheduler');
