--- a/src/host/scheduler_watch.ts
+++ b/src/host/scheduler_watch.ts
@@ -28,8 +28,10 @@
 const pingEveryMs = 250;
 /** A scheduler without an answer, or without the store, for so long is reported as silent. */
 const troubleMs = 650;
-/** One whose writes the store has rejected for so long is reported when the store serves others. */
+/** One whose writes the store has rejected for so long is reported when the store serves others ... */
 const rejectedMs = 200;
+/** ... and still rejects it after this time, since after an outage some are served before others. */
+const confirmMs = 120;
 
 /**
  * Makes the watch.
@@ -49,6 +51,14 @@
     return isOther ? claim : undefined;
   }
 
+  /** Whether the store serves this process and goes on rejecting the scheduler. */
+  async function isTurnedAway({ address, instance }: Claim): Promise<boolean> {
+    if (!(await isStoreServing())) return false;
+    await clock.sleep(confirmMs);
+    const pong = await peers.ping(address);
+    return pong.instance === instance && pong.storeRejectedMs >= rejectedMs;
+  }
+
   async function ping(claim: Claim): Promise<void> {
     const { instance, isRefused, storeFailingMs, storeRejectedMs } = await peers.ping(
       claim.address,
@@ -61,7 +71,7 @@
     }
     // A scheduler that answers was sound until the store began to fail it.
     if (instance !== undefined) soundAt.atMs = clock.now() - storeFailingMs;
-    if (storeRejectedMs >= rejectedMs && (await isStoreServing())) {
+    if (storeRejectedMs >= rejectedMs && (await isTurnedAway(claim))) {
       leadership.reportTurnedAway(claim.instance);
     }
     if (clock.now() - soundAt.atMs > troubleMs) leadership.reportSilent(claim.instance);
