--- a/src/host/scheduler_watch.ts
+++ b/src/host/scheduler_watch.ts
@@ -4,7 +4,7 @@
  */
 import type { Claim, Leadership, Member } from '../cell/mod.ts';
 import type { Clock } from '../clock/mod.ts';
-import type { PeerClient } from './peers.ts';
+import type { PeerClient, Pong } from './peers.ts';
 
 /** The watch. */
 export interface SchedulerWatch {
@@ -51,18 +51,20 @@
     return isOther ? claim : undefined;
   }
 
-  /** Whether the store serves this process and goes on rejecting the scheduler. */
-  async function isTurnedAway({ address, instance }: Claim): Promise<boolean> {
-    if (!(await isStoreServing())) return false;
-    await clock.sleep(confirmMs);
+  /** Asks the scheduler, a second time where only the store of this process may have come back. */
+  async function ask({ address, instance }: Claim): Promise<Pong> {
     const pong = await peers.ping(address);
-    return pong.instance === instance && pong.storeRejectedMs >= rejectedMs;
+    if (pong.storeRejectedMs < rejectedMs || !(await isStoreServing())) return pong;
+    await clock.sleep(confirmMs);
+    const confirmed = await peers.ping(address);
+    if (confirmed.instance === instance && confirmed.storeRejectedMs >= rejectedMs) {
+      leadership.reportTurnedAway(instance);
+    }
+    return confirmed;
   }
 
   async function ping(claim: Claim): Promise<void> {
-    const { instance, isRefused, storeFailingMs, storeRejectedMs } = await peers.ping(
-      claim.address,
-    );
+    const { instance, isRefused, storeFailingMs } = await ask(claim);
     silentInstance = instance === claim.instance ? undefined : claim.instance;
     const isGone = isRefused || (instance !== undefined && instance !== claim.instance);
     if (isGone) leadership.reportRejected(claim.instance);
@@ -71,9 +73,6 @@
     }
     // A scheduler that answers was sound until the store began to fail it.
     if (instance !== undefined) soundAt.atMs = clock.now() - storeFailingMs;
-    if (storeRejectedMs >= rejectedMs && (await isTurnedAway(claim))) {
-      leadership.reportTurnedAway(claim.instance);
-    }
     if (clock.now() - soundAt.atMs > troubleMs) leadership.reportSilent(claim.instance);
   }
 
