Keep filling tasks away from serving ones

Change: filling tasks start only on workers without serving tasks; serving tasks prefer workers without filling ones, and share one only where there is no other room. Tests: decide_test (2).

--- a/src/scheduler/_place_step.ts
+++ b/src/scheduler/_place_step.ts
@@ -11,6 +11,7 @@
   hasRoom,
   isEligible,
   placesWithinLimit,
+  undisturbedWorkers,
 } from './placement.ts';
 import { dropPlan, holdPlan } from './rooms.ts';
 import { leftOfShare } from './shares.ts';
@@ -38,8 +39,9 @@
 
 /** The chosen workers, whether for a gang or for single tasks. */
 function choose(step: Step, workers: Worker[], wanted: number): Map<Worker, number> | undefined {
-  if (step.spec.gang) return chooseForGang(step, workers);
-  const counts = chooseWorkers(step, workers, wanted);
+  const undisturbed = undisturbedWorkers(step, workers);
+  if (step.spec.gang) return chooseForGang(step, undisturbed);
+  const counts = chooseWorkers(step, undisturbed, wanted);
   return counts.size > 0 ? counts : undefined;
 }
 
@@ -139,7 +141,7 @@
     pass.decisions.held.advicePending += 1;
     return;
   }
-  const unknown = workersToAsk(step, eligible.byRoom, {
+  const unknown = workersToAsk(step, undisturbedWorkers(step, eligible.byRoom), {
     wanted: left,
     allowedShare: allowedShareOf(pass.state, step.job.accepted.queue),
   });
@@ -212,7 +214,7 @@
   if (reason !== undefined) return reason;
   const wanted = Math.min(waiting.length, withinLimit, withinShare);
   const eligible = eligibleWorkers(pass, step, queue?.service ?? accepted.service);
-  if (!step.plan && !hasRoom(step, eligible.all)) return HoldReason.Room;
+  if (!step.plan && !hasRoom(step, undisturbedWorkers(step, eligible.all))) return HoldReason.Room;
   if (terms.advice) {
     placeWithAdvice(pass, step, eligible, waiting, wanted, terms);
     return undefined;
--- a/src/scheduler/decide_test.ts
+++ b/src/scheduler/decide_test.ts
@@ -273,4 +273,25 @@
   assert.ok(inTime > 0.8 * latenessMs.length, `in time ${inTime} of ${latenessMs.length}`);
 });
 
+test('filling tasks do not start beside serving tasks, which would then miss their bound', () => {
+  const state = cellWith(2);
+  const serving = stepSpec({ longRunning: true, targetLatencyMs: 50, cpu: 1_000 });
+  submit(state, acceptedJob('serving', [serving]));
+  const [served] = pass(state).starts;
+  submit(state, acceptedJob('filling', [stepSpec({ count: 4, fillsIdleCapacity: true })]));
+  const fills = pass(state).starts;
+  assert.is(fills.length, 4);
+  assert.ok(fills.every(({ workerId }) => workerId !== served!.workerId));
+});
+
+test('serving tasks keep away from filling ones, but do not wait for their sake', () => {
+  const state = cellWith(2, 2_000);
+  submit(state, acceptedJob('filling', [stepSpec({ fillsIdleCapacity: true })]));
+  const [filling] = pass(state).starts;
+  const serving = stepSpec({ count: 3, longRunning: true, targetLatencyMs: 50, cpu: 1_000 });
+  submit(state, acceptedJob('serving', [serving]));
+  const beside = pass(state).starts.map(({ workerId }) => workerId === filling!.workerId);
+  assert.equal(beside, [false, false, true], 'the third has no other place');
+});
+
 test.run();
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -1,6 +1,9 @@
 /**
  * Choice of workers for the tasks of a step. Pure functions over the beliefs about the workers.
  *
+ * Tasks that fill idle capacity disturb tasks that serve users beside them, so they only go to workers
+ * without such tasks, and serving tasks go to workers without filling ones while there are any.
+ *
  * Single tasks go where they leave the least room, so that wide free rooms are left for gangs; gangs
  * go to the workers that take most members, within one rack where the step asks for it.
  */
@@ -46,6 +49,31 @@
   return runs.filter((run) => run.workerId === workerId).length;
 }
 
+/** Whether a task serves users within a bound on its tail latency. */
+function isServing({ spec }: Step): boolean {
+  return spec.longRunning && spec.targetLatencyMs > 0;
+}
+
+function runsAnyOf(worker: Worker, isKind: (step: Step) => boolean): boolean {
+  return [...worker.runs.values()].some(({ step }) => isKind(step));
+}
+
+/** Whether tasks of the step and what the worker runs leave each other undisturbed. */
+function isUndisturbed(step: Step, worker: Worker): boolean {
+  if (step.spec.fillsIdleCapacity) return !runsAnyOf(worker, isServing);
+  if (!isServing(step)) return true;
+  return !runsAnyOf(worker, ({ spec }) => spec.fillsIdleCapacity);
+}
+
+/** The workers on which tasks of the step may start, as far as disturbance goes. */
+export function undisturbedWorkers(step: Step, workers: Worker[]): Worker[] {
+  if (!step.spec.fillsIdleCapacity && !isServing(step)) return workers;
+  const undisturbed = workers.filter((worker) => isUndisturbed(step, worker));
+  // Serving tasks are not kept waiting for the sake of filling ones.
+  const mayShare = isServing(step) && !hasRoom(step, undisturbed);
+  return mayShare ? workers : undisturbed;
+}
+
 /** Whether some worker has room for a task of the step, or together they have it for a gang. */
 export function hasRoom(step: Step, workers: Worker[]): boolean {
   const need = needOf(step);
