Write the rows of jobs together while no scheduler answers in a slow store

Change: rows of one part are written together, one transaction at a time; a row that exists is left out and the others are written again. batches moved to a folder of its own. Tests: job_writer_test (5).

--- /dev/null
+++ b/src/batches/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Requests collected into batches.
+ */
+export * from './batches.ts';
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -19,6 +19,7 @@
 import type { ClientAnswer, ClientCall, Relay } from './_answers.ts';
 import { retryAfterFor } from './_retry_after.ts';
 import type { CellAccess } from './cell_access.ts';
+import { makeJobWriter, Written } from './job_writer.ts';
 import type { RouteTable } from './routes.ts';
 
 /** What the front end uses. */
@@ -68,6 +69,7 @@
  */
 export function makeFront(options: FrontOptions): Front {
   const { store, cell, clock, log, routes, relay } = options;
+  const jobWriter = makeJobWriter(store);
 
   function passOn(call: ClientCall, problem: Failure): Promise<ClientAnswer> {
     return passOnTo(call, problem, relay);
@@ -166,17 +168,10 @@
     if (!mayBeStored && options.isOverloaded(call.queue.name, call.organisation)) {
       return refuseForLoad(call);
     }
-    const row = jobRow(call.jobId);
-    const stored = await store.transact({
-      expected: [{ ...row, version: 0 }],
-      writes: [{ ...row, value: JSON.stringify(job) }],
-      deletes: [],
-    });
+    const stored = await jobWriter.write({ ...jobRow(call.jobId), value: JSON.stringify(job) });
     return stored.caseOf<ClientAnswer | Promise<ClientAnswer>>({
-      Right: () => acceptedBy(call, 'this process'),
+      Right: (written) => (written === Written.New ? acceptedBy(call, 'this process') : success()),
       Left: (problem) => {
-        // The row exists: the job was accepted before.
-        if (problem.kind === Kind.TableConflict) return success();
         log.warn('job not stored', {
           event: 'job-not-stored',
           id: call.jobId,
--- /dev/null
+++ b/src/front/job_writer_test.ts
@@ -0,0 +1,76 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { systemClock } from '../clock/mod.ts';
+import { Kind } from '../errors/mod.ts';
+import { makeFakeStore } from '../testing/fake_store.ts';
+import type { FakeStore } from '../testing/fake_store.ts';
+import { makeJobWriter } from './job_writer.ts';
+
+const test = suite('job writer');
+
+function row(key: string, part = 'j1') {
+  return { table: 'jobs', part, key, value: `{"id":"${key}"}` };
+}
+
+/** A store that takes a moment for each transaction and counts them. */
+function setUp() {
+  const inner = makeFakeStore();
+  const sizes: number[] = [];
+  const store: FakeStore = {
+    ...inner,
+    async transact(change) {
+      sizes.push(change.writes.length);
+      await systemClock.sleep(2);
+      return inner.transact(change);
+    },
+  };
+  return { store, sizes, writer: makeJobWriter(store) };
+}
+
+test('rows of a part that arrive during a transaction share the next one', async () => {
+  const { store, sizes, writer } = setUp();
+  const results = await Promise.all(['a', 'b', 'c', 'd'].map((key) => writer.write(row(key))));
+  assert.equal(sizes, [1, 3]);
+  assert.equal(
+    results.map((result) => result.extract()),
+    ['new', 'new', 'new', 'new'],
+  );
+  assert.is(store.rows.size, 4);
+});
+
+test('a slow part does not hold up the others', async () => {
+  const { sizes, writer } = setUp();
+  await Promise.all([writer.write(row('a', 'j1')), writer.write(row('b', 'j2'))]);
+  assert.equal(sizes, [1, 1]);
+});
+
+test('a row that exists does not keep the others of its transaction from being written', async () => {
+  const { store, writer } = setUp();
+  await writer.write(row('old'));
+  const results = await Promise.all(
+    ['first', 'old', 'new', 'new'].map((key) => writer.write(row(key))),
+  );
+  assert.equal(
+    results.map((result) => result.extract()),
+    ['new', 'known', 'new', 'new'],
+  );
+  assert.is(store.rows.size, 3);
+});
+
+test('rows of an unanswered transaction are not said to be unwritten', async () => {
+  const { store, writer } = setUp();
+  store.setFate(() => 'unanswered');
+  const results = await Promise.all(['a', 'b', 'c'].map((key) => writer.write(row(key))));
+  results.forEach((result) => assert.is(result.swap().unsafeCoerce().kind, Kind.TableUnknown));
+});
+
+test('rows of a rejected transaction are certainly unwritten', async () => {
+  const { store, writer } = setUp();
+  store.setFate(() => 'rejected');
+  const result = await writer.write(row('a'));
+  assert.is(result.swap().unsafeCoerce().kind, Kind.TableUnavailable);
+  assert.is(store.rows.size, 0);
+});
+
+test.run();
--- a/src/host/cell_client.ts
+++ b/src/host/cell_client.ts
@@ -14,8 +14,8 @@
 import type { CellAccess } from '../front/mod.ts';
 import type { Log } from '../logs/mod.ts';
 import type { AcceptedJob, JobState } from '../model/mod.ts';
-import { makeBatches } from './batches.ts';
-import type { Batches } from './batches.ts';
+import { makeBatches } from '../batches/mod.ts';
+import type { Batches } from '../batches/mod.ts';
 import type { PeerClient } from './peers.ts';
 
 /** What the client uses. */
