Explain from log files what became of a job

dogwood explain ID FILE... reads the logs of many processes, prints the story of one job in order, with what happened to the processes and workers that it met, and tells the cause in its last line. Without files it asks the fleet as before.

--- /dev/null
+++ b/src/explain/mod.ts
@@ -0,0 +1,5 @@
+/**
+ * Explains from the logs what became of a job.
+ */
+export * from './log_line.ts';
+export * from './story.ts';
--- a/src/operator/command.ts
+++ b/src/operator/command.ts
@@ -8,6 +8,7 @@
 import type { Context } from './_context.ts';
 import * as edits from './_edit_commands.ts';
 import * as jobs from './_job_commands.ts';
+import { explainFromLogs } from './_log_commands.ts';
 import * as settings from './_settings_commands.ts';
 import { makeClient } from './client.ts';
 import { ExitCode, wrong } from './exit.ts';
@@ -180,10 +181,24 @@
       ({ id, team }) => run((context) => jobs.cancel(context, { id, team })),
     )
     .command(
-      'explain <id>',
-      'Say why a job or lookup waits, or where it ran',
-      (y) => y.positional('id', name),
-      ({ id }) => run((context) => jobs.explain(context, id)),
+      'explain <id> [logs..]',
+      'Say why a job or lookup waits, or where it ran; from log files what became of it',
+      (y) =>
+        y
+          .positional('id', name)
+          .positional('logs', {
+            type: 'string',
+            array: true,
+            default: [],
+            describe: 'Log files of entry processes; without any the fleet is asked',
+          })
+          .example('$0 explain 5c0e7a21d94b36f8 edge-*.log', 'The story of a job and its cause'),
+      ({ id, logs }) =>
+        run((context) =>
+          logs.length > 0
+            ? explainFromLogs(context, { id, files: logs })
+            : jobs.explain(context, id),
+        ),
     )
     .command(
       'state [member]',
--- a/src/operator/operator_test.ts
+++ b/src/operator/operator_test.ts
@@ -52,6 +52,25 @@
   return { ...server, env, run, folder };
 }
 
+test('explain reads the story of a job from log files, without a fleet', async () => {
+  const line = (time: number, process: string, event: string) =>
+    JSON.stringify({ level: 30, time, process, event, id: 'a1', reason: 'busy', msg: 'text' });
+  const folder = makeFolder({
+    'edge-1.log': `${line(2_000, 'edge-1', 'job-refused')}\n`,
+    'edge-2.log': `${line(1_000, 'edge-2', 'job-refused')}\n`,
+  });
+  const logs = ['edge-1.log', 'edge-2.log'].map((file) => path.join(folder, file));
+  const { code, text } = await dogwood(['explain', 'a1', ...logs]);
+  assert.is(code, 0);
+  assert.match(
+    text,
+    /edge-2 {2}job-refused[^]*edge-1 {2}job-refused[^]*cause: refused by edge-1: busy/,
+  );
+  const missing = await dogwood(['explain', 'a1', path.join(folder, 'none.log')]);
+  assert.is(missing.code, 2);
+  rmSync(folder, { recursive: true });
+});
+
 test('a check that needs a server, or stops at one fault, would let faults reach the fleet', async () => {
   const good = makeFolder();
   const checked = await dogwood(['check', good]);
