Log each job as it is received, and each call that is not served

Change: job-received when a job has been read, call-not-served with status and reason; explain tells the latter as a cause. The check of route and key moved to a file of its own. Tests: front_test, story_test.

--- a/src/explain/cause.ts
+++ b/src/explain/cause.ts
@@ -70,6 +70,14 @@
   return `not stored by ${line.process}: ${String(line.fields.reason)}${why}`;
 }
 
+function notServed(evidence: Evidence): string | undefined {
+  const line = linesOf(evidence, 'call-not-served').findLast(
+    ({ fields }) => fields.method === 'POST',
+  );
+  if (!line || wasTaken(evidence)) return undefined;
+  return `answered ${String(line.fields.status)} by ${line.process}: ${String(line.fields.reason)}`;
+}
+
 function failed(evidence: Evidence): string | undefined {
   const end = linesOf(evidence, 'job-ended').find(({ fields }) => fields.state === 'failed');
   if (!end) return undefined;
@@ -122,6 +130,7 @@
   rejected,
   refused,
   notStored,
+  notServed,
   failed,
   cancelled,
   completed,
--- a/src/explain/story_test.ts
+++ b/src/explain/story_test.ts
@@ -55,6 +55,12 @@
   assert.not.match(causeIn(lost, notStored, about(950, 'job-accepted')), /not stored/);
 });
 
+test('a call that nobody could serve tells its status and why', () => {
+  const call = { method: 'POST', status: 504, reason: 'the store does not answer' };
+  const cause = causeIn(about(1, 'job-received'), about(2, 'call-not-served', call));
+  assert.is(cause, 'cause: answered 504 by edge-1: the store does not answer');
+});
+
 test('a job that fails on several workers is told from one that fails on one', () => {
   const end = (worker: string) => about(10, 'ended', { task: 't', how: 'failed', worker });
   const failed = about(20, 'job-ended', { state: 'failed' });
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -5,7 +5,7 @@
  * row is stored from here, and the next scheduler finds it there. A call that neither can serve is
  * relayed, whole, to another entry process.
  */
-import { Left, Right } from 'purify-ts';
+import { Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
 import type { Clock } from '../clock/mod.ts';
@@ -14,11 +14,13 @@
 import type { Failure, Outcome } from '../errors/mod.ts';
 import type { Log } from '../logs/mod.ts';
 import { JobState } from '../model/mod.ts';
-import type { AcceptedJob, JobSpec, Organisation, Queue, Store } from '../model/mod.ts';
+import type { AcceptedJob, JobSpec, Store } from '../model/mod.ts';
 import { errorAnswer, passOn as passOnTo, refusal, success } from './_answers.ts';
 import type { ClientAnswer, ClientCall, Relay } from './_answers.ts';
 import { retryAfterFor } from './_retry_after.ts';
 import type { CellAccess } from './cell_access.ts';
+import { authorise } from './_routed_call.ts';
+import type { RoutedCall } from './_routed_call.ts';
 import { makeJobWriter, Written } from './job_writer.ts';
 import type { RouteTable } from './routes.ts';
 
@@ -50,17 +52,13 @@
   answer(call: ClientCall): Promise<ClientAnswer>;
 }
 
+/** Answers from this status on say that the call was not served here. */
+const serverErrorStatus = 500;
+
 function storeIsDown(): Failure {
   return failure(Kind.TableUnavailable, 'the store does not answer');
 }
 
-/** A call whose queue and organisation are known. */
-interface RoutedCall extends ClientCall {
-  queue: Queue;
-  organisation: string;
-  jobId: string;
-}
-
 /**
  * Makes the front end.
  *
@@ -71,8 +69,22 @@
   const { store, cell, clock, log, routes, relay } = options;
   const jobWriter = makeJobWriter(store);
 
-  function passOn(call: ClientCall, problem: Failure): Promise<ClientAnswer> {
-    return passOnTo(call, problem, relay);
+  async function passOn(
+    call: ClientCall & { jobId?: string },
+    problem: Failure,
+  ): Promise<ClientAnswer> {
+    const answer = await passOnTo(call, problem, relay);
+    if (answer.status >= serverErrorStatus) {
+      log.warn('call not served', {
+        event: 'call-not-served',
+        ...(call.jobId ? { id: call.jobId } : { path: call.path }),
+        method: call.method,
+        status: answer.status,
+        kind: problem.kind,
+        reason: problem.message,
+      });
+    }
+    return answer;
   }
 
   function acceptedJob(call: RoutedCall, spec: JobSpec): AcceptedJob {
@@ -138,6 +150,7 @@
     const spec = decoded.extract() as JobSpec;
     const call = { ...received, retryAfterS: retryAfterFor(received.queue, spec) };
     const job = acceptedJob(call, spec);
+    log.info('job received', { event: 'job-received', id: call.jobId, queue: call.queue.name });
     const outcome = await cell.submit(job);
     if (outcome === Submission.Stored) return acceptedBy(call, 'the scheduler');
     if (outcome === Submission.Overloaded) return refuseForLoad(call);
@@ -246,17 +259,6 @@
     return passOn(call, failure(Kind.NotFresh, 'the count is too old'));
   }
 
-  function authorise(call: ClientCall, table: RouteTable): Either<ClientAnswer, RoutedCall> {
-    const path = call.path.split('?', 1)[0]!;
-    const matched = table.match(call.host, path);
-    if (!matched) return Left(errorAnswer(404, 'there is no such queue'));
-    const { queue, rest } = matched;
-    const organisation: Organisation | undefined =
-      call.key === undefined ? undefined : table.organisationOf(call.key);
-    if (!organisation && !queue.isPublic) return Left(errorAnswer(401, 'the key is not known'));
-    return Right({ ...call, queue, organisation: organisation?.name ?? '', jobId: rest });
-  }
-
   function serve(call: RoutedCall): Promise<ClientAnswer> {
     const { method, jobId } = call;
     if (jobId === '') {
--- a/src/front/front_test.ts
+++ b/src/front/front_test.ts
@@ -83,6 +83,19 @@
   assert.is(relayed.length, 1);
 });
 
+test('a call that is not served leaves a line with its id, its status and the reason', async () => {
+  const lines: Record<string, unknown>[] = [];
+  const keep = (_text: string, fields?: Record<string, unknown>) => lines.push(fields ?? {});
+  const log = { ...silentLog, info: keep, warn: keep };
+  const { call } = setUp({ log, isStoreDown: () => true });
+  await call('POST');
+  assert.equal(
+    lines.map(({ event }) => event),
+    ['job-received', 'call-not-served'],
+  );
+  assert.equal([lines[1]!.id, lines[1]!.status], [id, 503]);
+});
+
 test('a relayed call is not relayed again', async () => {
   const { store, call, relayed } = setUp();
   store.setFate(() => 'rejected');
