Do not take a run for lost when a start is sent again after its worker has ended it

In between a report may list the run, which settles it; when the run then ends before its end has been read (the link waits up to 0.4 s for the store), the worker rejects the second start as superseded. That was taken as 'never started', the task was started again, and the real end was confirmed unread. Ruled out: reborn workers (the runs are on one life of the worker), expired tickets. Change: after a first start was sent, any rejection first stops the attempt; the worker's next list tells how it ended. Test: _orders_test, failed before.

--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -124,8 +124,8 @@
         onRejected(run, Rejection.Late);
         return;
       }
-      const wasUnsettled = run.unsettled;
-      if (!wasSent && !wasUnsettled && hasExpiredTicket(run)) {
+      const mayHaveRun = wasSent || run.unsettled;
+      if (!mayHaveRun && hasExpiredTicket(run)) {
         // Storing the start took longer than the ticket is valid.
         logOrder('start-not-sent', run, { reason: Rejection.Ticket });
         onRejected(run, Rejection.Ticket);
@@ -142,9 +142,9 @@
         return;
       }
       if (outcome !== Rejection.Unknown) {
-        logOrder('start-rejected', run, { reason: outcome, wasUnsettled });
+        logOrder('start-rejected', run, { reason: outcome, mayHaveRun });
         if (outcome === Rejection.Fenced) options.onFenced();
-        else if (wasUnsettled) await stop(run, 'earlier order was not answered');
+        else if (mayHaveRun) await stop(run, 'earlier order was not answered');
         else if (isHeld(state, run)) onRejected(run, outcome);
         return;
       }
--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -83,4 +83,30 @@
   assert.is(sent, 2, 'the same start is sent again, which is idempotent');
 });
 
+test('a run that was listed and has ended is not taken to be lost when its start is sent again', async () => {
+  const rejected: Rejection[] = [];
+  const stopped: number[] = [];
+  const { run, orders } = setUp(
+    {
+      async start() {
+        if (run.phase === RunPhase.Running) return Rejection.Superseded;
+        // The answer is lost; the worker lists the run and, before it is asked again, ends it.
+        run.phase = RunPhase.Running;
+        setTimeout(() => {
+          run.unsettled = false;
+        }, 20);
+        return Rejection.Unknown;
+      },
+      async stop(_worker, { attempt }) {
+        stopped.push(attempt);
+        return undefined;
+      },
+    },
+    (rejection) => rejected.push(rejection),
+  );
+  await orders.start(run);
+  assert.equal(rejected, [], 'the next list of the worker tells how it ended');
+  assert.equal(stopped, [1]);
+});
+
 test.run();
