--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -8,102 +8,18 @@
  * of a thousand jobs costs little: what cannot be served for a reason that holds for its whole queue or
  * organisation is passed over at once, and of what can only be late without worth a few are tried.
  */
-import { JobState } from '../model/mod.ts';
-import { occurrenceCount, stepsOf } from './jobs.ts';
-import { compareRanks, rankOf, Urgency } from './order.ts';
-import type { Rank } from './order.ts';
-import { HoldReason, termsOf } from './pass.ts';
-import type { DecisionInputs, Decisions, Lookup, Pass } from './pass.ts';
+import { Urgency } from './order.ts';
+import { HoldReason } from './pass.ts';
+import type { DecisionInputs, Decisions, Pass } from './pass.ts';
 import { placeStep } from './_place_step.ts';
+import { rankSteps } from './_ranking.ts';
 import { isUsable } from './placement.ts';
 import { fairShares } from './shares.ts';
-import type { CellState, Job, Step } from './state.ts';
+import type { CellState, Step } from './state.ts';
 
-/** A job that can only be late without worth is looked at so often. */
-const lateRetryMs = 100;
-/** They are looked at in every pass while fewer jobs than this wait that still are worth something. */
-const manyFresh = 10;
 /** Steps without worth that a pass tries to place. */
 const maxTooLateTried = 24;
 
-type Times = Pick<DecisionInputs, 'nowMs' | 'wallMs'>;
-
-function isDue(job: Job, occurrence: number, wallMs: number): boolean {
-  const { repetition } = job.accepted.spec;
-  return !repetition || wallMs >= repetition.startAtMs + occurrence * repetition.intervalMs;
-}
-
-/** Makes the objective of an occurrence count from the time at which it was due. */
-function noteDueTime(job: Job, occurrence: number, { nowMs, wallMs }: Times): void {
-  const { repetition } = job.accepted.spec;
-  if (!repetition || job.occurrences.has(occurrence)) return;
-  const dueAtWallMs = repetition.startAtMs + occurrence * repetition.intervalMs;
-  const sinceMs = Math.max(job.acceptedAtMs, nowMs - (wallMs - dueAtWallMs));
-  stepsOf(job, occurrence).forEach((step) => {
-    step.sinceMs = sinceMs;
-  });
-}
-
-function readySteps(job: Job, times: Times): Step[] {
-  const ready: Step[] = [];
-  for (let k = 0; k < occurrenceCount(job) && isDue(job, k, times.wallMs); k++) {
-    noteDueTime(job, k, times);
-    const steps = stepsOf(job, k);
-    const isReady = (step: Step) =>
-      step.remaining > 0 && step.spec.after.every((number) => steps[number]?.remaining === 0);
-    ready.push(...steps.filter(isReady));
-  }
-  return ready;
-}
-
-/** The steps whose turn has come. */
-interface RankedSteps {
-  steps: Record<Urgency, Step[]>;
-  /** Jobs that wait and still are worth something. */
-  freshJobs: number;
-}
-
-/** The steps whose turn has come, by urgency; of each urgency in order, but those without worth. */
-function rankSteps(state: CellState, { queues }: Lookup, inputs: DecisionInputs): RankedSteps {
-  const ranked: Record<Urgency, { step: Step; rank: Rank }[]> = {
-    [Urgency.InTime]: [],
-    [Urgency.Late]: [],
-    [Urgency.TooLate]: [],
-  };
-  let freshJobs = 0;
-  function rankJob(job: Job): void {
-    const steps = readySteps(job, inputs).map((step) => ({
-      step,
-      rank: rankOf(step, termsOf(job, queues.get(job.accepted.queue)), inputs.nowMs),
-    }));
-    steps.forEach((each) => ranked[each.rank.urgency].push(each));
-    const isTooLate =
-      steps.length > 0 && steps.every(({ rank }) => rank.urgency === Urgency.TooLate);
-    if (isTooLate && !job.accepted.spec.repetition) {
-      job.skippedUntilMs = inputs.nowMs + lateRetryMs;
-    } else if (job.state === JobState.Queued) {
-      freshJobs += 1;
-    }
-  }
-  const skipped: Job[] = [];
-  state.active.forEach((job) => {
-    if (job.skippedUntilMs > inputs.nowMs) skipped.push(job);
-    else rankJob(job);
-  });
-  if (freshJobs < manyFresh) skipped.forEach(rankJob);
-  const stepsOfUrgency = (urgency: Urgency) => ranked[urgency].map(({ step }) => step);
-  ranked[Urgency.InTime].sort((a, b) => compareRanks(a.rank, b.rank));
-  ranked[Urgency.Late].sort((a, b) => compareRanks(a.rank, b.rank));
-  return {
-    freshJobs,
-    steps: {
-      [Urgency.InTime]: stepsOfUrgency(Urgency.InTime),
-      [Urgency.Late]: stepsOfUrgency(Urgency.Late),
-      [Urgency.TooLate]: stepsOfUrgency(Urgency.TooLate),
-    },
-  };
-}
-
 function placeSteps(pass: Pass, steps: Step[], isWithinShare: boolean): void {
   steps.forEach((step) => {
     const reason = placeStep(pass, step, isWithinShare);
