--- a/src/scheduler/tickets.ts
+++ b/src/scheduler/tickets.ts
@@ -43,13 +43,13 @@
   return ticket !== undefined && ticket.bornMs === worker.bornMs && ticket.validUntilMs > untilMs;
 }
 
-function unspokenCpu({ free, expectedCpu }: Worker): number {
+function uncommittedCpu({ free, expectedCpu }: Worker): number {
   return free.cpu - expectedCpu;
 }
 
 /** Orders workers so that those come first that have most room that no call for tickets counts on. */
 export function sortByRoom(workers: Worker[]): Worker[] {
-  return [...workers].sort((a, b) => unspokenCpu(b) - unspokenCpu(a));
+  return [...workers].sort((a, b) => uncommittedCpu(b) - uncommittedCpu(a));
 }
 
 /** Adds what the tasks of a call, spread over the workers that it names, probably take there. */
