--- a/src/front/_retry_after.ts
+++ b/src/front/_retry_after.ts
@@ -5,7 +5,7 @@
  * attempts; one whose job can wait spreads them over the time that it has, so that it outlasts the
  * outage, and one whose answer is wanted at once comes back at once.
  */
-import { longestChainMs } from '../scheduler/mod.ts';
+import { slackMs } from '../scheduler/mod.ts';
 import type { JobSpec, Queue } from '../model/mod.ts';
 
 const minRetryAfterS = 1;
@@ -22,11 +22,9 @@
  * retryAfterFor(queue, spec); // 1 for a lookup, 3 for a batch that has 12 s to spare
  */
 export function retryAfterFor(
-  { targetFactor, targetLatencyMs }: Pick<Queue, 'targetFactor' | 'targetLatencyMs'>,
+  terms: Pick<Queue, 'targetFactor' | 'targetLatencyMs'>,
   { steps }: Pick<JobSpec, 'steps'>,
 ): number {
-  const chainMs = longestChainMs(steps);
-  const slackMs = targetFactor * chainMs + targetLatencyMs - chainMs;
-  const partS = Math.round(slackMs / attempts / msPerS);
+  const partS = Math.round(slackMs(terms, steps) / attempts / msPerS);
   return Math.min(maxRetryAfterS, Math.max(minRetryAfterS, partS));
 }
--- a/src/scheduler/mod.ts
+++ b/src/scheduler/mod.ts
@@ -3,7 +3,7 @@
  */
 export * from './state.ts';
 export * from './jobs.ts';
-export { longestChainMs } from './order.ts';
+export { slackMs } from './order.ts';
 export * from './decide.ts';
 export * from './pass.ts';
 export * from './pressure.ts';
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -27,6 +27,15 @@
   return terms.targetFactor * job.chainMs + terms.targetLatencyMs;
 }
 
+/** Time by which a job may begin late and still be done within its objective, in milliseconds. */
+export function slackMs(
+  { targetFactor, targetLatencyMs }: Pick<QueueTerms, 'targetFactor' | 'targetLatencyMs'>,
+  steps: StepSpec[],
+): number {
+  const chainMs = longestChainMs(steps);
+  return targetFactor * chainMs + targetLatencyMs - chainMs;
+}
+
 /** How much a job still gains by being served now; lower comes first. */
 export const Urgency = {
   /** It can be done within its objective. */
--- a/src/scheduler/pressure.ts
+++ b/src/scheduler/pressure.ts
@@ -8,7 +8,7 @@
  */
 import { JobState } from '../model/mod.ts';
 import type { AcceptedJob, Configuration } from '../model/mod.ts';
-import { longestChainMs, objectiveMs } from './order.ts';
+import { objectiveMs, slackMs } from './order.ts';
 import { termsOf } from './pass.ts';
 import { fairShares, leftOfShare } from './shares.ts';
 import type { CellState, Job } from './state.ts';
@@ -142,8 +142,6 @@
 export function isRefused(pressure: Pressure, job: AcceptedJob): boolean {
   const { queue, organisation, terms, spec } = job;
   if (spec.repetition || spec.steps.some(({ longRunning }) => longRunning)) return false;
-  const chainMs = longestChainMs(spec.steps);
-  const slackMs = terms.targetFactor * chainMs + terms.targetLatencyMs - chainMs;
-  if ((pressure.limitWaitMs[organisation] ?? 0) > slackMs) return true;
+  if ((pressure.limitWaitMs[organisation] ?? 0) > slackMs(terms, spec.steps)) return true;
   return pressure.busyQueues.includes(queue) && pressure.beyondShare.includes(organisation);
 }
