--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -6,7 +6,7 @@
 import { Rejection } from '../model/mod.ts';
 import type { Workers } from '../model/mod.ts';
 import { decide, RunPhase } from '../scheduler/mod.ts';
-import { acceptedJob, cellWith, configuration, stepSpec, submit } from '../testing/fake_cell.ts';
+import { acceptedJob, cellWith, decisionInputs, stepSpec, submit } from '../testing/fake_cell.ts';
 import { makeOrders } from './_orders.ts';
 import type { WorkerLink } from './worker_link.ts';
 
@@ -16,14 +16,7 @@
 function setUp(workers: Partial<Workers>, onRejected: (rejection: Rejection) => void = () => {}) {
   const state = cellWith(1);
   submit(state, acceptedJob('a', [stepSpec()]));
-  const [run] = decide(state, {
-    nowMs: 0,
-    wallMs: 0,
-    configuration: configuration(),
-    evacuated: new Set(),
-    orderDelayMs: 0,
-    takeAdviceSlot: () => 'slot',
-  }).starts;
+  const [run] = decide(state, decisionInputs()).starts;
   const orders = makeOrders({
     state,
     workers: workers as Workers,
--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -51,10 +51,10 @@
   while (!check()) await systemClock.sleep(2);
 }
 
-async function withAbort(play: (signal: AbortSignal) => Promise<void>): Promise<void> {
+async function withAbort<Result>(play: (signal: AbortSignal) => Promise<Result>): Promise<Result> {
   const abort = new AbortController();
   try {
-    await play(abort.signal);
+    return await play(abort.signal);
   } finally {
     abort.abort();
   }
@@ -88,28 +88,28 @@
     assert.is(second.won[0]!.predecessorMayAct, false);
   }));
 
-test('a scheduler whose host rejects connections is replaced before its heartbeat is missed', () =>
-  withAbort(async (signal) => {
+/** The claim of a candidate that has reported something of the present scheduler, `a-1`. */
+function claimAfter(report: (leadership: Leadership) => void): Promise<WonClaim> {
+  return withAbort(async (signal) => {
     const store = makeFakeStore();
     const first = candidate(store, 'a', signal, () => first.won.length === 0);
     await until(() => first.won.length > 0);
     const second = candidate(store, 'b', signal);
     await until(() => second.leadership.claim() !== undefined);
-    second.leadership.reportRejected('a-1');
+    report(second.leadership);
     await until(() => second.won.length > 0);
-    assert.is(second.won[0]!.predecessorMayAct, false);
-  }));
+    return second.won[0]!;
+  });
+}
 
-test('a scheduler that the store turns away is replaced at once, and may still renew leases', () =>
-  withAbort(async (signal) => {
-    const store = makeFakeStore();
-    const first = candidate(store, 'a', signal, () => first.won.length === 0);
-    await until(() => first.won.length > 0);
-    const second = candidate(store, 'b', signal);
-    await until(() => second.leadership.claim() !== undefined);
-    second.leadership.reportTurnedAway('a-1');
-    await until(() => second.won.length > 0);
-    assert.is(second.won[0]!.predecessorMayAct, true);
-  }));
+test('a scheduler whose host rejects connections is replaced before its heartbeat is missed', async () => {
+  const claim = await claimAfter((leadership) => leadership.reportRejected('a-1'));
+  assert.is(claim.predecessorMayAct, false);
+});
+
+test('a scheduler that the store turns away is replaced at once, and may still renew leases', async () => {
+  const claim = await claimAfter((leadership) => leadership.reportTurnedAway('a-1'));
+  assert.is(claim.predecessorMayAct, true);
+});
 
 test.run();
--- a/src/scheduler/decide_test.ts
+++ b/src/scheduler/decide_test.ts
@@ -8,6 +8,7 @@
   addWorker,
   cellWith,
   configuration,
+  decisionInputs,
   queue,
   stepSpec,
   submit,
@@ -24,14 +25,13 @@
   nowMs = 0,
   options: { config?: Configuration; evacuated?: string[]; wallMs?: number } = {},
 ) {
-  return decide(state, {
+  const inputs = decisionInputs({
     nowMs,
     wallMs: options.wallMs ?? 0,
     configuration: options.config ?? configuration(),
     evacuated: new Set(options.evacuated ?? []),
-    orderDelayMs: 0,
-    takeAdviceSlot: () => 'slot',
   });
+  return decide(state, inputs);
 }
 
 function finish(state: CellState, run: Run, end: RunEnd = RunEnd.Done, nowMs = 0) {
@@ -213,17 +213,14 @@
   submit(state, acceptedJob('h', [stepSpec()], { inQueue: heavy }));
   submit(state, acceptedJob('u', [stepSpec()], { inQueue: urgent }));
   let slots = 1;
-  const { adviceRequests } = decide(state, {
-    nowMs: 0,
-    wallMs: 0,
+  const inputs = decisionInputs({
     configuration: configuration([urgent, heavy]),
-    evacuated: new Set(),
-    orderDelayMs: 0,
     takeAdviceSlot() {
       slots -= 1;
       return slots >= 0 ? slots : undefined;
     },
   });
+  const { adviceRequests } = decide(state, inputs);
   assert.equal(
     adviceRequests.map(({ step }) => step.job.accepted.id),
     ['u'],
--- a/src/scheduler/overload_test.ts
+++ b/src/scheduler/overload_test.ts
@@ -6,6 +6,7 @@
   acceptedJob,
   cellWith,
   configuration,
+  decisionInputs,
   queue,
   stepSpec,
   submit,
@@ -17,14 +18,7 @@
 const test = suite('decide under overload');
 
 function pass(state: CellState, nowMs = 0, { config }: { config?: Configuration } = {}) {
-  return decide(state, {
-    nowMs,
-    wallMs: 0,
-    configuration: config ?? configuration(),
-    evacuated: new Set(),
-    orderDelayMs: 0,
-    takeAdviceSlot: () => 'slot',
-  });
+  return decide(state, decisionInputs({ nowMs, configuration: config ?? configuration() }));
 }
 
 test('steps that nothing can run do not keep other late steps from ever being tried', () => {
@@ -64,19 +58,15 @@
   }
   const asked: boolean[] = [];
   let slots = 0;
-  const passAt = (nowMs: number) =>
-    decide(state, {
-      nowMs,
-      wallMs: 0,
-      configuration: configuration([inQueue]),
-      evacuated: new Set(),
-      orderDelayMs: 0,
-      takeAdviceSlot(_expectedMs, isUrgent) {
-        asked.push(isUrgent);
-        slots -= 1;
-        return slots >= 0 ? 'slot' : undefined;
-      },
-    }).adviceRequests.length;
+  const inputs = decisionInputs({
+    configuration: configuration([inQueue]),
+    takeAdviceSlot(_expectedMs, isUrgent) {
+      asked.push(isUrgent);
+      slots -= 1;
+      return slots >= 0 ? 'slot' : undefined;
+    },
+  });
+  const passAt = (nowMs: number) => decide(state, { ...inputs, nowMs }).adviceRequests.length;
   const calls = [100_000, 100_010, 100_020].map((nowMs) => {
     slots = 2;
     return passAt(nowMs);
@@ -110,17 +100,15 @@
   const nowMs = 100_000;
   fresh.acceptedAtMs = nowMs;
   const asked: boolean[] = [];
-  const { adviceRequests, held } = decide(state, {
+  const inputs = decisionInputs({
     nowMs,
-    wallMs: 0,
     configuration: configuration([inQueue]),
-    evacuated: new Set(),
-    orderDelayMs: 0,
     takeAdviceSlot(_expectedMs, isUrgent) {
       asked.push(isUrgent);
       return isUrgent ? 'slot' : undefined;
     },
   });
+  const { adviceRequests, held } = decide(state, inputs);
   assert.equal(
     adviceRequests.map(({ step }) => step.job.accepted.id),
     ['fresh'],
@@ -148,15 +136,8 @@
   repeated.spec.repetition = { count: 2, startAtMs: 0, intervalMs: 60_000 };
   submit(state, repeated, 0);
   submit(state, acceptedJob('late', [stepSpec()]), 50_000);
-  const times = { nowMs: 60_010, wallMs: 60_010 };
   // The first occurrence and the other job are too late; the second occurrence has just come due.
-  const { starts } = decide(state, {
-    ...times,
-    configuration: configuration(),
-    evacuated: new Set(),
-    orderDelayMs: 0,
-    takeAdviceSlot: () => 'slot',
-  });
+  const { starts } = decide(state, decisionInputs({ nowMs: 60_010, wallMs: 60_010 }));
   assert.equal(
     starts.map(({ step }) => [step.job.accepted.id, step.occurrence]),
     [['timed', 1]],
--- a/src/scheduler/shares_test.ts
+++ b/src/scheduler/shares_test.ts
@@ -5,6 +5,7 @@
   acceptedJob,
   cellWith,
   configuration,
+  decisionInputs,
   queue,
   stepSpec,
   submit,
@@ -28,14 +29,7 @@
 });
 
 function inputs(nowMs: number) {
-  return {
-    nowMs,
-    wallMs: 0,
-    configuration: twoOrganisations,
-    evacuated: new Set<string>(),
-    orderDelayMs: 0,
-    takeAdviceSlot: () => 'slot',
-  };
+  return decisionInputs({ nowMs, configuration: twoOrganisations });
 }
 
 function startedBy(state: ReturnType<typeof cellWith>, nowMs: number): Record<string, number> {
--- a/src/scheduler/workers_test.ts
+++ b/src/scheduler/workers_test.ts
@@ -7,7 +7,7 @@
   acceptedJob,
   addWorker,
   cellWith,
-  configuration,
+  decisionInputs,
   stepSpec,
   submit,
 } from '../testing/fake_cell.ts';
@@ -22,14 +22,7 @@
 const test = suite('workers');
 
 function startAll(state: CellState): Run[] {
-  const { starts } = decide(state, {
-    nowMs: 0,
-    wallMs: 0,
-    configuration: configuration(),
-    evacuated: new Set(),
-    orderDelayMs: 0,
-    takeAdviceSlot: () => 'slot',
-  });
+  const { starts } = decide(state, decisionInputs());
   starts.forEach((run) => {
     run.phase = RunPhase.Running;
   });
--- a/src/testing/fake_cell.ts
+++ b/src/testing/fake_cell.ts
@@ -10,7 +10,7 @@
   WorkerEntry,
 } from '../model/mod.ts';
 import { addJob, makeCellState, makeWorker } from '../scheduler/mod.ts';
-import type { CellState, Job, Worker } from '../scheduler/mod.ts';
+import type { CellState, DecisionInputs, Job, Worker } from '../scheduler/mod.ts';
 
 /** A step with the fields that a test cares for. */
 export function stepSpec(fields: Partial<StepSpec> & { cpu?: number } = {}): StepSpec {
@@ -72,6 +72,19 @@
   };
 }
 
+/** Inputs of a decision in which every call for tickets finds a place, with the given ones instead. */
+export function decisionInputs(fields: Partial<DecisionInputs> = {}): DecisionInputs {
+  return {
+    nowMs: 0,
+    wallMs: 0,
+    configuration: configuration(),
+    evacuated: new Set(),
+    orderDelayMs: 0,
+    takeAdviceSlot: () => 'slot',
+    ...fields,
+  };
+}
+
 /** A job as the front end stores it. */
 export function acceptedJob(
   id: string,
