Report what sending a batch throws, and go on with the next one

The error was swallowed and the batch counted as under way for ever; with one batch at a time, as the writer of job rows has it, its part would never have been written again. Test: batches_test, failed before. Also renames a result that says 'unknown', not 'not written'.

--- a/src/batches/batches.ts
+++ b/src/batches/batches.ts
@@ -16,6 +16,8 @@
   send(requests: Request[]): Promise<Result[] | undefined>;
   /** The result of a request whose batch gave none. */
   otherwise: Result;
+  /** Takes what sending a batch threw; its requests get no results. */
+  onError(error: unknown): void;
   maxUnderWay: number;
   maxRequests: number;
 }
@@ -29,20 +31,29 @@
  * Makes the collector.
  *
  * @example
- * const batches = makeBatches({ send, otherwise: 'unknown', maxUnderWay: 2, maxRequests: 60 });
+ * const batches = makeBatches({ send, otherwise: 'unknown', onError, maxUnderWay: 2, maxRequests: 60 });
  * await batches.ask(job);
  */
 export function makeBatches<Request, Result>(
   options: BatchOptions<Request, Result>,
 ): Batches<Request, Result> {
-  const { send, otherwise, maxUnderWay, maxRequests } = options;
+  const { send, otherwise, onError, maxUnderWay, maxRequests } = options;
   const waiting: Waiting<Request, Result>[] = [];
   let underWay = 0;
 
+  async function resultsOf(requests: Request[]): Promise<Result[] | undefined> {
+    try {
+      return await send(requests);
+    } catch (error) {
+      onError(error);
+      return undefined;
+    }
+  }
+
   async function sendBatch(): Promise<void> {
     const batch = waiting.splice(0, maxRequests);
     underWay += 1;
-    const results = await send(batch.map(({ request }) => request));
+    const results = await resultsOf(batch.map(({ request }) => request));
     underWay -= 1;
     batch.forEach(({ resolve }, index) => resolve(results?.[index] ?? otherwise));
     sendNext();
@@ -50,7 +61,7 @@
 
   function sendNext(): void {
     if (waiting.length === 0 || underWay >= maxUnderWay) return;
-    sendBatch().catch(() => undefined);
+    sendBatch().catch(onError);
   }
 
   return {
--- a/src/batches/batches_test.ts
+++ b/src/batches/batches_test.ts
@@ -7,6 +7,7 @@
 
 function setUp(maxRequests = 10) {
   const sent: number[][] = [];
+  const errors: unknown[] = [];
   const answer: ((results: string[] | undefined) => void)[] = [];
   const batches = makeBatches<number, string>({
     send(requests) {
@@ -16,10 +17,11 @@
       });
     },
     otherwise: 'none',
+    onError: (error) => errors.push(error),
     maxUnderWay: 1,
     maxRequests,
   });
-  return { batches, sent, answer };
+  return { batches, sent, answer, errors };
 }
 
 async function settle(): Promise<void> {
@@ -45,4 +47,15 @@
   assert.equal(await Promise.all(results), ['none', 'b', 'none']);
 });
 
+test('a batch whose sending throws is reported and does not block the next one', async () => {
+  const { batches, answer, errors } = setUp();
+  const results = [1, 2].map((request) => batches.ask(request));
+  const defect = new Error('defect');
+  answer[0]!(Promise.reject(defect) as never);
+  await settle();
+  answer[1]!(['b']);
+  assert.equal(await Promise.all(results), ['none', 'b']);
+  assert.equal(errors, [defect]);
+});
+
 test.run();
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -67,7 +67,7 @@
  */
 export function makeFront(options: FrontOptions): Front {
   const { store, cell, clock, log, routes, relay } = options;
-  const jobWriter = makeJobWriter(store);
+  const jobWriter = makeJobWriter(store, log);
 
   async function passOn(
     call: ClientCall & { jobId?: string },
--- a/src/front/job_writer.ts
+++ b/src/front/job_writer.ts
@@ -11,6 +11,8 @@
 import type { Batches } from '../batches/mod.ts';
 import { failure, Kind } from '../errors/mod.ts';
 import type { Failure } from '../errors/mod.ts';
+import { logFailure } from '../logs/mod.ts';
+import type { Log } from '../logs/mod.ts';
 import type { RowKey, Store, StoredRow } from '../model/mod.ts';
 
 /** A row that is to be written if it does not exist. */
@@ -41,7 +43,7 @@
 /** As many rows of the largest size as a transaction takes. */
 const maxRowsPerTransaction = 15;
 
-function notWritten(): RowResult {
+function withoutResult(): RowResult {
   return Left(failure(Kind.TableUnknown, 'the transaction had no result'));
 }
 
@@ -56,9 +58,10 @@
  * Makes the writer.
  *
  * @example
+ * const writer = makeJobWriter(store, log);
  * const result = await writer.write({ ...jobRow(id), value: JSON.stringify(job) });
  */
-export function makeJobWriter(store: Store): JobWriter {
+export function makeJobWriter(store: Store, log: Log): JobWriter {
   const lanes = new Map<string, Batches<NewRow, RowResult>>();
 
   async function writeAll(rows: NewRow[]): Promise<Either<Failure, void>> {
@@ -104,9 +107,10 @@
         async send(rows) {
           const distinct = [...new Map(rows.map((row) => [row.key, row])).values()];
           const results = await writeMissing(distinct);
-          return rows.map(({ key }) => results.get(key) ?? notWritten());
+          return rows.map(({ key }) => results.get(key) ?? withoutResult());
         },
-        otherwise: notWritten(),
+        otherwise: withoutResult(),
+        onError: logFailure(log, 'writing the rows of jobs'),
         maxUnderWay: 1,
         maxRequests: maxRowsPerTransaction,
       });
--- a/src/front/job_writer_test.ts
+++ b/src/front/job_writer_test.ts
@@ -3,6 +3,7 @@
 
 import { systemClock } from '../clock/mod.ts';
 import { Kind } from '../errors/mod.ts';
+import { silentLog } from '../logs/mod.ts';
 import { makeFakeStore } from '../testing/fake_store.ts';
 import type { FakeStore } from '../testing/fake_store.ts';
 import { makeJobWriter } from './job_writer.ts';
@@ -25,7 +26,7 @@
       return inner.transact(change);
     },
   };
-  return { store, sizes, writer: makeJobWriter(store) };
+  return { store, sizes, writer: makeJobWriter(store, silentLog) };
 }
 
 test('rows of a part that arrive during a transaction share the next one', async () => {
--- a/src/host/cell_client.ts
+++ b/src/host/cell_client.ts
@@ -12,6 +12,7 @@
 import { Kind, refuse } from '../errors/mod.ts';
 import type { Failure, Outcome } from '../errors/mod.ts';
 import type { CellAccess } from '../front/mod.ts';
+import { logFailure } from '../logs/mod.ts';
 import type { Log } from '../logs/mod.ts';
 import type { AcceptedJob, JobState } from '../model/mod.ts';
 import { makeBatches } from '../batches/mod.ts';
@@ -99,6 +100,7 @@
         });
       },
       otherwise: resultWithout(Kind.OutcomeUnknown),
+      onError: logFailure(log, 'a batch for the scheduler'),
       maxUnderWay: maxBatches,
       maxRequests,
     });
