Do not refuse a lookup for work of its organisation that is served after it

Cause: the organisation was at its upper limit. The wait for the limit added up all its waiting work, whatever its queue; long batch work, which is served after lookups, made the wait longer than a lookup has to spare. Change: only work of the same or a more urgent priority counts. The limit that running batch work gives back goes to lookups, which passes serve first. Test: shares_test, failed before (refused).

--- a/src/scheduler/pressure.ts
+++ b/src/scheduler/pressure.ts
@@ -4,7 +4,7 @@
  * Load answered: more work than room for seconds. Where jobs that still could be in time wait for a
  * notable part of their objective, organisations that use more than their share of the fleet are
  * refused. An organisation at its upper limit is refused what would wait behind its own work until it
- * is late.
+ * is late; work of queues that come later does not count, since it is served later.
  */
 import { JobState } from '../model/mod.ts';
 import type { AcceptedJob, Configuration } from '../model/mod.ts';
@@ -13,18 +13,26 @@
 import { fairShares, leftOfShare } from './shares.ts';
 import type { CellState, Job } from './state.ts';
 
+/** Work of one priority that waits for the upper limit of its organisation. */
+export interface LimitWait {
+  /** Priority of its queue; lower values are served first. */
+  priority: number;
+  /** Time that the processor which the limit grants needs for it, in milliseconds. */
+  waitMs: number;
+}
+
 /** What is refused for now. */
 export interface Pressure {
   /** Queues that have no room for what is beyond a share. */
   busyQueues: string[];
   /** Organisations that use more than their share. */
   beyondShare: string[];
-  /** Time that work waits for the upper limit of its organisation, in milliseconds; 0 left out. */
-  limitWaitMs: Record<string, number>;
+  /** What waits for their upper limits, by organisation; only of those that have used them up. */
+  limitWaits: Record<string, LimitWait[]>;
 }
 
 /** Nothing is refused. */
-export const noPressure: Readonly<Pressure> = { busyQueues: [], beyondShare: [], limitWaitMs: {} };
+export const noPressure: Readonly<Pressure> = { busyQueues: [], beyondShare: [], limitWaits: {} };
 
 /** A queue is busy when a job has waited for this part of its objective ... */
 const busyPart = 0.35;
@@ -62,6 +70,7 @@
 
 interface WaitingJob {
   job: Job;
+  priority: number;
   objective: number;
   waitedMs: number;
 }
@@ -72,37 +81,51 @@
   const waiting: WaitingJob[] = [];
   state.active.forEach((job) => {
     if (job.state !== JobState.Queued || job.accepted.spec.repetition) return;
-    const objective = objectiveMs(job, termsOf(job, byName.get(job.accepted.queue)));
+    const terms = termsOf(job, byName.get(job.accepted.queue));
+    const objective = objectiveMs(job, terms);
     const waitedMs = nowMs - job.acceptedAtMs;
-    if (waitedMs < objective * stalePart) waiting.push({ job, objective, waitedMs });
+    if (waitedMs >= objective * stalePart) return;
+    waiting.push({ job, priority: terms.priority, objective, waitedMs });
   });
   return waiting;
 }
 
-/** Time until the processor that an organisation's limit grants has done the work that waits. */
+/** Work that waits, by priority; thousandths of a core times milliseconds. */
+function workByPriority(waiting: WaitingJob[]): Map<number, number> {
+  const work = new Map<number, number>();
+  waiting.forEach(({ job: { cpuMs }, priority }) => {
+    work.set(priority, (work.get(priority) ?? 0) + cpuMs);
+  });
+  return work;
+}
+
+/** The time that the work of the organisations at their upper limits needs, by priority. */
 function limitWaits(
   state: CellState,
   { organisations }: Configuration,
   waiting: WaitingJob[],
-): Record<string, number> {
-  const workMs = new Map<string, number>();
-  waiting.forEach(({ job: { accepted, cpuMs } }) => {
-    workMs.set(accepted.organisation, (workMs.get(accepted.organisation) ?? 0) + cpuMs);
-  });
+): Record<string, LimitWait[]> {
   const limited = organisations.filter(({ name, upperLimit }) => {
     const used = state.usage.get(name)?.cpu ?? 0;
     return upperLimit.cpu > 0 && used >= upperLimit.cpu * fullPart;
   });
   return Object.fromEntries(
-    limited.map(({ name, upperLimit }) => [name, (workMs.get(name) ?? 0) / upperLimit.cpu]),
+    limited.map(({ name, upperLimit }) => {
+      const own = waiting.filter(({ job }) => job.accepted.organisation === name);
+      const waits = [...workByPriority(own)].map(([priority, work]) => ({
+        priority,
+        waitMs: work / upperLimit.cpu,
+      }));
+      return [name, waits];
+    }),
   );
 }
 
-function busyQueues(waiting: WaitingJob[], limitWaitMs: Record<string, number>): string[] {
+function busyQueues(waiting: WaitingJob[], limited: Record<string, LimitWait[]>): string[] {
   const busy = new Set<string>();
   waiting.forEach(({ job: { accepted }, objective, waitedMs }) => {
     // What waits for the limit of its organisation says nothing about room.
-    if (accepted.organisation in limitWaitMs) return;
+    if (accepted.organisation in limited) return;
     if (waitedMs > Math.max(busyWaitMs, busyPart * objective)) busy.add(accepted.queue);
   });
   return [...busy];
@@ -120,19 +143,25 @@
   nowMs: number,
 ): Pressure {
   const waiting = waitingJobs(state, configuration, nowMs);
-  const limitWaitMs = limitWaits(state, configuration, waiting);
+  const limited = limitWaits(state, configuration, waiting);
   const { cpu, cpuUsed, cpuHeld } = fleetLoad(state);
-  if (cpuUsed + cpuHeld < cpu * fullPart) return { ...noPressure, limitWaitMs };
+  if (cpuUsed + cpuHeld < cpu * fullPart) return { ...noPressure, limitWaits: limited };
   const shares = fairShares(state, configuration, state.workers.values());
   return {
-    busyQueues: busyQueues(waiting, limitWaitMs),
+    busyQueues: busyQueues(waiting, limited),
     beyondShare: configuration.organisations
       .map(({ name }) => name)
       .filter((name) => shares.has(name) && leftOfShare(state, shares, name) <= 0),
-    limitWaitMs,
+    limitWaits: limited,
   };
 }
 
+/** Time that a further job of the organisation waits for its limit, behind what is served first. */
+function limitWaitMs({ limitWaits: waits }: Pressure, organisation: string, priority: number) {
+  const before = (waits[organisation] ?? []).filter((wait) => wait.priority <= priority);
+  return before.reduce((sum, { waitMs }) => sum + waitMs, 0);
+}
+
 /**
  * Whether a further job is refused.
  *
@@ -142,6 +171,6 @@
 export function isRefused(pressure: Pressure, job: AcceptedJob): boolean {
   const { queue, organisation, terms, spec } = job;
   if (spec.repetition || spec.steps.some(({ longRunning }) => longRunning)) return false;
-  if ((pressure.limitWaitMs[organisation] ?? 0) > slackMs(terms, spec.steps)) return true;
+  if (limitWaitMs(pressure, organisation, terms.priority) > slackMs(terms, spec.steps)) return true;
   return pressure.busyQueues.includes(queue) && pressure.beyondShare.includes(organisation);
 }
--- a/src/scheduler/shares_test.ts
+++ b/src/scheduler/shares_test.ts
@@ -1,6 +1,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import { RunEnd } from '../model/mod.ts';
 import {
   acceptedJob,
   cellWith,
@@ -11,6 +12,7 @@
   submit,
 } from '../testing/fake_cell.ts';
 import { decide } from './decide.ts';
+import { endRun } from './jobs.ts';
 import { isRefused, noPressure, pressureOf } from './pressure.ts';
 import { fairShares } from './shares.ts';
 
@@ -106,4 +108,39 @@
   assert.equal(pressure.busyQueues, [], 'what waits for a limit says nothing about room');
 });
 
+test('a lookup is not refused for batch work of its organisation that is served after it', () => {
+  const lookups = queue({ name: 'lookup', priority: 0 });
+  const limited = configuration([queue(), lookups], {
+    organisations: [
+      {
+        ...configuration().organisations[0]!,
+        upperLimit: { cpu: 2_000, memoryMb: 0, gpu: 0 },
+      },
+    ],
+  });
+  const state = cellWith(2, 4_000);
+  const passAt = (nowMs: number) => decide(state, { ...inputs(nowMs), configuration: limited });
+  const refusedAt = (nowMs: number, ...args: Parameters<typeof acceptedJob>) =>
+    isRefused(pressureOf(state, limited, nowMs), acceptedJob(...args));
+  submit(state, acceptedJob('running', [stepSpec({ count: 2 })]));
+  const [running] = passAt(1).starts;
+  for (let index = 0; index < 8; index++) {
+    submit(state, acceptedJob(`batch${index}`, [stepSpec()]), 2);
+  }
+  // Eight seconds of batch work wait for two cores.
+  assert.ok(refusedAt(3, 'batch', [stepSpec()]));
+  assert.not.ok(refusedAt(3, 'lookup', [stepSpec()], { inQueue: lookups }));
+  submit(state, acceptedJob('lookup', [stepSpec()], { inQueue: lookups }), 4);
+  endRun(state, running!, { end: RunEnd.Done, checkpoint: '' }, { maxAttempts: 2, nowMs: 5 });
+  assert.equal(
+    passAt(6).starts.map(({ step }) => step.job.accepted.id),
+    ['lookup'],
+    'it is served before the batch work that came earlier',
+  );
+  for (let index = 0; index < 8; index++) {
+    submit(state, acceptedJob(`more${index}`, [stepSpec()], { inQueue: lookups }), 7);
+  }
+  assert.ok(refusedAt(8, 'last', [stepSpec()], { inQueue: lookups }), 'other lookups do count');
+});
+
 test.run();
