Confirm the silence of a scheduler at once

Cause: pings to the scheduler are 250 ms apart also after one without an answer, which itself lasts 350 ms. So two pings without an answer take 0.95 to 1.2 s, though 0.65 s of silence suffice, and the heartbeat has been missing for longer than its bound by then. Ruled out: the store (13 ms a transaction), loading (0.12 s). Change: a ping that is not answered is followed by the next at once, which waits 150 ms. Silence is known 0.5 to 0.75 s after the last answer. A silence of pings alone still replaces no scheduler: its heartbeat has to be 0.9 s old as well. The line scheduler-won now tells how long the last sign was ago and how long the claim took. Test: scheduler_watch_test, failed before (no report after two pings).

--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -155,6 +155,8 @@
   }
 
   async function tryClaim(reason: string): Promise<void> {
+    const startedAtMs = clock.now();
+    const lastSignAtMs = signAtMs;
     const predecessor = claim;
     const epoch = (predecessor?.epoch ?? 0) + 1;
     const sequenceValue = `${epoch}.${self.instance}.0`;
@@ -177,7 +179,13 @@
         claim = next;
         claimVersion = version;
         signAtMs = clock.now();
-        log.info('scheduler claim won', { event: 'scheduler-won', epoch, reason });
+        log.info('scheduler claim won', {
+          event: 'scheduler-won',
+          epoch,
+          reason,
+          silenceMs: Math.round(startedAtMs - lastSignAtMs),
+          claimMs: Math.round(clock.now() - startedAtMs),
+        });
         onWon({
           epoch,
           sequence: { version, value: sequenceValue },
--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -55,7 +55,7 @@
   states(address: string, ids: string[]): Outcome<(JobState | undefined)[]>;
   /** Cancels jobs; false where that may not be stored. */
   cancel(address: string, ids: string[]): Outcome<boolean[]>;
-  ping(address: string): Promise<Pong>;
+  ping(address: string, timeoutMs: number): Promise<Pong>;
 }
 
 const connections = 16;
@@ -63,7 +63,6 @@
 const wishesTimeoutMs = 500;
 const cellTimeoutMs = 1_600;
 const statesTimeoutMs = 500;
-const pingTimeoutMs = 350;
 const adviceMarginMs = 200;
 const maxBodyBytes = 1_048_576;
 
@@ -136,7 +135,7 @@
  *
  * @example
  * const peers = makePeerClient(systemClock);
- * await peers.ping('10.0.0.8:7420');
+ * await peers.ping('10.0.0.8:7420', 350);
  */
 export function makePeerClient(clock: Clock): PeerClient {
   const callers = new Map<string, Caller>();
@@ -197,11 +196,11 @@
         timeoutMs: relayTimeoutMs,
       }),
     wishes: (address) => call(address, '/wishes', { timeoutMs: wishesTimeoutMs }),
-    async ping(address) {
+    async ping(address, timeoutMs) {
       const answer = await callerOf(address).call({
         method: 'GET',
         path: '/ping',
-        timeoutMs: pingTimeoutMs,
+        timeoutMs,
       });
       if (isNoAnswer(answer)) {
         return { isRefused: answer.isRefused, storeFailingMs: 0, storeRejectedMs: 0 };
--- a/src/host/scheduler_watch.ts
+++ b/src/host/scheduler_watch.ts
@@ -25,7 +25,11 @@
   self: Pick<Member, 'instance'>;
 }
 
+/** Pings begin this long after each other; one that takes longer is followed by the next at once. */
 const pingEveryMs = 250;
+const pingTimeoutMs = 350;
+/** A ping that follows one without an answer only confirms the silence. */
+const confirmTimeoutMs = 150;
 /** A scheduler without an answer, or without the store, for so long is reported as silent. */
 const troubleMs = 650;
 /** One whose writes the store has rejected for so long is reported when the store serves others ... */
@@ -53,10 +57,11 @@
 
   /** Asks the scheduler, a second time where only the store of this process may have come back. */
   async function ask({ address, instance }: Claim): Promise<Pong> {
-    const pong = await peers.ping(address);
+    const isConfirming = silentInstance === instance;
+    const pong = await peers.ping(address, isConfirming ? confirmTimeoutMs : pingTimeoutMs);
     if (pong.storeRejectedMs < rejectedMs || !(await isStoreServing())) return pong;
     await clock.sleep(confirmMs);
-    const confirmed = await peers.ping(address);
+    const confirmed = await peers.ping(address, pingTimeoutMs);
     if (confirmed.instance === instance && confirmed.storeRejectedMs >= rejectedMs) {
       leadership.reportTurnedAway(instance);
     }
@@ -80,8 +85,11 @@
     otherScheduler,
     isAnswering: () => otherScheduler()?.instance !== silentInstance,
     async run(signal) {
+      let startedAtMs = clock.now();
       while (!signal.aborted) {
-        await clock.sleep(pingEveryMs, signal);
+        const pauseMs = startedAtMs + pingEveryMs - clock.now();
+        if (pauseMs > 0) await clock.sleep(pauseMs, signal);
+        startedAtMs = clock.now();
         const claim = otherScheduler();
         if (claim) await ping(claim);
       }
--- a/src/host/scheduler_watch_test.ts
+++ b/src/host/scheduler_watch_test.ts
@@ -9,10 +9,13 @@
 
 const test = suite('watch of the scheduler');
 
-/** Plays pings, 250 ms apart; tells what was reported at which time. */
+/**
+ * Plays pings, 250 ms apart; tells what was reported at which time. One without an answer lasts for its
+ * timeout if `hasTimeouts`, else it fails at once.
+ */
 async function play(
   pongs: Pong[],
-  { isStoreServing = true } = {},
+  { isStoreServing = true, hasTimeouts = false } = {},
 ): Promise<[report: string, atMs: number][]> {
   let nowMs = 0;
   const reports: [string, number][] = [];
@@ -33,8 +36,9 @@
     reportTurnedAway: () => reports.push(['turned away', nowMs]),
   } as Partial<Leadership> as Leadership;
   const peers = {
-    async ping() {
+    async ping(_address, timeoutMs) {
       const pong = pongs.shift();
+      if (hasTimeouts && pong?.instance === undefined) nowMs += timeoutMs;
       if (pongs.length === 0) over.abort();
       return pong!;
     },
@@ -73,6 +77,12 @@
   assert.equal(await play([sound, silent, silent, silent]), [['silent', 1_000]]);
 });
 
+test('the silence of a scheduler is confirmed at once, so that its cell is not without one for longer', async () => {
+  const silent = { isRefused: false, storeFailingMs: 0, storeRejectedMs: 0 };
+  // It answers at 250 ms; the next ping begins at 500 ms and is confirmed at once.
+  assert.equal(await play([sound, silent, silent], { hasTimeouts: true }), [['silent', 1_000]]);
+});
+
 test('a scheduler whose host rejects connections, or runs another instance, is reported at once', async () => {
   const refused = { isRefused: true, storeFailingMs: 0, storeRejectedMs: 0 };
   assert.equal(await play([refused]), [['rejected', 250]]);
