Log where the time of a job goes before its tasks run

job-begun and job-too-late tell for how long a job was held by which reason, in one line each a job. advice names the calling host and the time of the call, started the times until the decision was stored and its order sent, job-taken the age and objective of the job.

--- a/src/cell/_job_rows.ts
+++ b/src/cell/_job_rows.ts
@@ -55,7 +55,13 @@
   const accepted = JSON.parse(row.value) as AcceptedJob;
   const ageMs = Math.max(0, clock.wall() - accepted.acceptedAtMs);
   addJob(state, accepted, clock.now() - ageMs).hasEntryRows = hasEntryRows;
-  log.info('job found', { event: 'job-found', id: row.key, version: row.version });
+  log.info('job found', {
+    event: 'job-found',
+    id: row.key,
+    queue: accepted.queue,
+    ageMs,
+    version: row.version,
+  });
 }
 
 /**
--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -37,6 +37,20 @@
 const retryMs = 120;
 const stopRetryMs = 250;
 
+/** Times from the decision to start a run, for its log line. */
+export function orderTimes(
+  { orderedAtMs, storedAtMs, sentAtMs, sends }: Run,
+  nowMs: number,
+): { afterMs: number; storedAfterMs?: number; sentAfterMs?: number; sends: number } {
+  const since = (atMs: number) => Math.round(atMs - orderedAtMs);
+  return {
+    afterMs: since(nowMs),
+    ...(storedAtMs === undefined ? {} : { storedAfterMs: since(storedAtMs) }),
+    ...(sentAtMs === undefined ? {} : { sentAfterMs: since(sentAtMs) }),
+    sends,
+  };
+}
+
 /** Whether the run still is one that takes room on its worker. */
 function isHeld(state: CellState, run: Run): Worker | undefined {
   const worker = state.workers.get(run.workerId);
@@ -74,6 +88,8 @@
     const { step, index, attempt } = run;
     const ticket = step.advice.tickets.get(run.workerId);
     const { checkpoint } = step.tasks[index]!;
+    run.sentAtMs ??= clock.now();
+    run.sends += 1;
     return workers.start(worker.entry, {
       task: taskName(run),
       attempt,
--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -7,7 +7,7 @@
 import type { Workers } from '../model/mod.ts';
 import { decide, RunPhase } from '../scheduler/mod.ts';
 import { acceptedJob, cellWith, decisionInputs, stepSpec, submit } from '../testing/fake_cell.ts';
-import { makeOrders } from './_orders.ts';
+import { makeOrders, orderTimes } from './_orders.ts';
 import type { WorkerLink } from './worker_link.ts';
 
 const test = suite('orders');
@@ -102,4 +102,22 @@
   assert.equal(stopped, [1]);
 });
 
+test('an order that is sent late or again is told from one that the worker answers late', async () => {
+  let sent = 0;
+  const { run, orders } = setUp({
+    async start() {
+      sent += 1;
+      return sent === 1 ? Rejection.Unknown : undefined;
+    },
+  });
+  run.orderedAtMs = systemClock.now() - 1_000;
+  assert.equal(orderTimes(run, run.orderedAtMs + 5), { afterMs: 5, sends: 0 });
+  run.storedAtMs = run.orderedAtMs + 40;
+  await orders.start(run);
+  const { storedAfterMs, sentAfterMs, sends } = orderTimes(run, systemClock.now());
+  assert.is(storedAfterMs, 40);
+  assert.ok(sentAfterMs! >= 1_000);
+  assert.is(sends, 2);
+});
+
 test.run();
--- a/src/cell/_passes.ts
+++ b/src/cell/_passes.ts
@@ -3,7 +3,7 @@
  */
 import { logFailure } from '../logs/mod.ts';
 import type { Tickets } from '../model/mod.ts';
-import { decide, stepName, takeAdvice } from '../scheduler/mod.ts';
+import { decide, stepName, takeAdvice, waitTimesOf } from '../scheduler/mod.ts';
 import type { AdviceRequest, HoldReason, Job, Run } from '../scheduler/mod.ts';
 import type { Orders } from './_orders.ts';
 import type { AdviceSlot } from './advice_pool.ts';
@@ -61,9 +61,13 @@
   let earliestMs = 0;
   let report = emptyReport();
 
-  function takeAnswer(request: AdviceRequest, answer: Tickets | undefined): void {
+  function takeAnswer(
+    request: AdviceRequest<AdviceSlot>,
+    answer: Tickets | undefined,
+    askedAtMs: number,
+  ): void {
     const nowMs = clock.now();
-    const { step, terms } = request;
+    const { step, terms, slot } = request;
     const validityMs = answer?.validityMs || terms.advice!.validityMs;
     takeAdvice(state, request, answer?.tickets, { validUntilMs: nowMs + validityMs, nowMs });
     log.info('advice', {
@@ -71,24 +75,49 @@
       id: step.job.accepted.id,
       step: stepName(step),
       asked: request.workers.length,
+      host: slot.host,
+      tookMs: Math.round(nowMs - askedAtMs),
       ...(answer ? { allowed: answer.tickets.length } : { failed: true }),
     });
   }
 
   async function askForTickets(request: AdviceRequest<AdviceSlot>): Promise<void> {
+    const askedAtMs = clock.now();
     const answer = await advicePool.ask(request.slot, {
       step: stepName(request.step),
       workers: request.workers.map(({ entry }) => entry.id),
     });
-    takeAnswer(request, answer);
+    takeAnswer(request, answer, askedAtMs);
     schedule();
   }
 
+  /** Logs what a job that has not begun has waited for. */
+  function logWait(event: string, job: Job, fields: Record<string, unknown>): void {
+    if (!job.wait) return;
+    const nowMs = clock.now();
+    const { id, queue } = job.accepted;
+    log.info('wait of a job', {
+      event,
+      id,
+      queue,
+      waitedMs: Math.round(nowMs - job.acceptedAtMs),
+      held: waitTimesOf(job.wait, nowMs),
+      ...fields,
+    });
+  }
+
+  function noteBegin(job: Job, starts: Run[]): void {
+    logWait('job-begun', job, { starts: starts.length });
+    job.wait = undefined;
+  }
+
   /** Sends the starts of a job once they are stored, whatever else waits to be stored. */
   async function sendStarts(job: Job, starts: Run[]): Promise<void> {
     term.markJob(job);
     if (!(await journal.flush())) return;
+    const storedAtMs = clock.now();
     starts.forEach((run) => {
+      run.storedAtMs = storedAtMs;
       orders.start(run).catch(logFailure(log, 'a start'));
     });
   }
@@ -98,7 +127,7 @@
     const nowMs = clock.now();
     const wishes = term.wishes();
     if (!wishes || nowMs - wishes.currentAtMs > wishesAgeLimitMs) return;
-    const { starts, adviceRequests, held } = decide(state, {
+    const { starts, adviceRequests, held, tooLate } = decide(state, {
       nowMs,
       wallMs: clock.wall(),
       configuration: wishes.configuration,
@@ -113,7 +142,9 @@
     adviceRequests.forEach((request) => {
       askForTickets(request).catch(logFailure(log, 'a call for tickets'));
     });
+    tooLate.forEach((job) => logWait('job-too-late', job, {}));
     groupByJob(starts).forEach((runs, job) => {
+      noteBegin(job, runs);
       sendStarts(job, runs).catch(logFailure(log, 'sending starts'));
     });
   }
--- a/src/cell/service.ts
+++ b/src/cell/service.ts
@@ -6,7 +6,8 @@
  * together with the starts that are decided meanwhile.
  */
 import type { AcceptedJob, JobState } from '../model/mod.ts';
-import { addJob } from '../scheduler/mod.ts';
+import { addJob, objectiveMs } from '../scheduler/mod.ts';
+import type { Job } from '../scheduler/mod.ts';
 import type { Ends } from './_ends.ts';
 import type { Term } from './_term_state.ts';
 import { acceptedRow } from './rows.ts';
@@ -45,10 +46,16 @@
 }
 
 /** What decides where and when a job can run, for its first log line. */
-function factsOf({ id, organisation, spec: { steps, repetition } }: AcceptedJob) {
+function factsOf(job: Job, ageMs: number) {
+  const { id, queue, organisation, terms, spec } = job.accepted;
+  const { steps, repetition } = spec;
   return {
     id,
+    queue,
     organisation,
+    ageMs,
+    estimatedMs: job.chainMs,
+    objectiveMs: Math.round(objectiveMs(job, terms)),
     tasks: steps.map(({ count }) => count),
     cpu: steps.map(({ need }) => need.cpu),
     requirements: steps.flatMap(({ requirement }) => requirement ?? []),
@@ -107,9 +114,9 @@
       if (!state.jobs.has(job.id)) {
         if (isOverloaded(job)) return Submission.Overloaded;
         const ageMs = Math.max(0, clock.wall() - job.acceptedAtMs);
-        addJob(state, job, clock.now() - ageMs);
+        const added = addJob(state, job, clock.now() - ageMs);
         journal.mark(acceptedRow(job.id), () => JSON.stringify(job));
-        log.info('job taken', { event: 'job-taken', queue: job.queue, ...factsOf(job) });
+        log.info('job taken', { event: 'job-taken', ...factsOf(added, ageMs) });
         term.schedulePass();
       }
       return (await isStored()) ? Submission.Stored : Submission.Unknown;
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -31,7 +31,7 @@
   takeJobRows,
   takeProgress,
 } from './_job_rows.ts';
-import { makeOrders } from './_orders.ts';
+import { makeOrders, orderTimes } from './_orders.ts';
 import type { Orders } from './_orders.ts';
 import { makePasses } from './_passes.ts';
 import type { Passes } from './_passes.ts';
@@ -162,7 +162,7 @@
         task: taskName(run),
         attempt: run.attempt,
         worker: run.workerId,
-        afterMs: Math.round(clock.now() - run.orderedAtMs),
+        ...orderTimes(run, clock.now()),
       });
     },
     onFenced: () => end('a worker has seen a higher fencing token'),
--- a/src/scheduler/_place_step.ts
+++ b/src/scheduler/_place_step.ts
@@ -3,7 +3,7 @@
  * need tickets, and asks for these.
  */
 import { orderRun } from './jobs.ts';
-import { HoldReason, termsOf } from './pass.ts';
+import { HoldReason, noteHeld, termsOf } from './pass.ts';
 import type { EligibleWorkers, Pass } from './pass.ts';
 import {
   chooseForGang,
@@ -25,6 +25,7 @@
 } from './tickets.ts';
 import type { AdviceRequest } from './tickets.ts';
 import type { CellState, QueueTerms, Run, Step, Worker } from './state.ts';
+import { noteWait } from './waiting.ts';
 
 /** Numbers of the tasks of a step that wait for a start. */
 function waitingTasks(step: Step, nowMs: number): number[] {
@@ -71,12 +72,13 @@
   const { decisionMs, perWorkerMs } = terms.advice!;
   const slot = pass.takeAdviceSlot(decisionMs + perWorkerMs * workers.length, pass.isUrgent);
   if (slot === undefined) {
-    pass.decisions.held.adviceSlot += 1;
+    noteHeld(pass, step.job, HoldReason.AdviceSlot);
     pass.withoutSlot.add(step.job.accepted.queue);
     return false;
   }
   const request = { step, workers, wanted, terms, slot };
   noteAsked(request);
+  noteWait(step.job, HoldReason.AdvicePending, pass.nowMs);
   pass.decisions.adviceRequests.push(request);
   return true;
 }
@@ -90,7 +92,7 @@
 ): void {
   const counts = choose(step, allowed, wanted);
   if (!counts) {
-    pass.decisions.held.notAllowed += 1;
+    noteHeld(pass, step.job, HoldReason.NotAllowed);
     return;
   }
   const workers = new Map([...counts].map(([worker, count]) => [worker.entry.id, count]));
@@ -123,7 +125,7 @@
 ): void {
   const { advice } = step;
   if (advice.isPending) {
-    pass.decisions.held.advicePending += 1;
+    noteHeld(pass, step.job, HoldReason.AdvicePending);
     return;
   }
   // A plan was made for the tickets that have now arrived.
@@ -138,7 +140,7 @@
   const left = wanted - starts.length;
   if (left === 0) return;
   if (pass.nowMs < advice.notBeforeMs) {
-    pass.decisions.held.advicePending += 1;
+    noteHeld(pass, step.job, HoldReason.AdvicePending);
     return;
   }
   const unknown = workersToAsk(step, undisturbedWorkers(step, eligible.byRoom), {
--- a/src/scheduler/_ranking.ts
+++ b/src/scheduler/_ranking.ts
@@ -53,6 +53,8 @@
   steps: Record<Urgency, Step[]>;
   /** Jobs that wait and still are worth something. */
   freshJobs: number;
+  /** Jobs that have not begun and of which it was not noted before that they have no worth. */
+  tooLate: Job[];
 }
 
 interface RankedStep {
@@ -92,10 +94,17 @@
     [Urgency.TooLate]: [],
   };
   let freshJobs = 0;
+  const tooLate: Job[] = [];
+  function noteTooLate(job: Job): void {
+    job.skippedUntilMs = inputs.nowMs + lateRetryMs;
+    if (!job.wait || job.wait.isTooLate) return;
+    job.wait.isTooLate = true;
+    tooLate.push(job);
+  }
   function add(job: Job): void {
     const steps = rankJob(job, lookup, inputs);
     steps.forEach((each) => ranked[each.rank.urgency].push(each));
-    if (isTooLate(job, steps)) job.skippedUntilMs = inputs.nowMs + lateRetryMs;
+    if (isTooLate(job, steps)) noteTooLate(job);
     else if (job.state === JobState.Queued) freshJobs += 1;
   }
   const skipped: Job[] = [];
@@ -106,6 +115,7 @@
   if (freshJobs < manyFresh) skipped.forEach(add);
   return {
     freshJobs,
+    tooLate,
     steps: {
       [Urgency.InTime]: inOrder(ranked[Urgency.InTime]),
       [Urgency.Late]: inOrder(ranked[Urgency.Late]),
--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -9,7 +9,7 @@
  * organisation is passed over at once, and of what can only be late without worth a few are tried.
  */
 import { Urgency } from './order.ts';
-import { HoldReason } from './pass.ts';
+import { HoldReason, noteHeld } from './pass.ts';
 import type { DecisionInputs, Decisions, Pass } from './pass.ts';
 import { placeStep } from './_place_step.ts';
 import { rankSteps } from './_ranking.ts';
@@ -23,7 +23,7 @@
 function placeSteps(pass: Pass, steps: Step[], isWithinShare: boolean): void {
   steps.forEach((step) => {
     const reason = placeStep(pass, step, isWithinShare);
-    if (reason !== undefined) pass.decisions.held[reason] += 1;
+    if (reason !== undefined) noteHeld(pass, step.job, reason);
   });
 }
 
@@ -36,7 +36,7 @@
   let tried = 0;
   for (const step of inTurn) {
     const reason = placeStep(pass, step, false);
-    if (reason !== undefined) pass.decisions.held[reason] += 1;
+    if (reason !== undefined) noteHeld(pass, step.job, reason);
     if (reason === undefined || reason === HoldReason.Room) {
       step.triedAtMs = pass.nowMs;
       tried += 1;
@@ -62,6 +62,7 @@
   );
   const decisions: Decisions<Slot> = {
     starts: [],
+    tooLate: [],
     adviceRequests: [],
     held: { limit: 0, share: 0, room: 0, adviceSlot: 0, advicePending: 0, notAllowed: 0 },
   };
@@ -76,7 +77,8 @@
     shares: fairShares(state, configuration, usable),
     decisions,
   };
-  const { steps, freshJobs } = rankSteps(state, lookup, inputs);
+  const { steps, freshJobs, tooLate } = rankSteps(state, lookup, inputs);
+  decisions.tooLate = tooLate;
   [Urgency.InTime, Urgency.Late].forEach((urgency) => {
     placeSteps(pass, steps[urgency], true);
     placeSteps(pass, steps[urgency], false);
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -7,6 +7,7 @@
 import { releaseRun, reserveRun } from './rooms.ts';
 import { keepCheckpoint, makeRun, tasksOf } from './state.ts';
 import type { CellState, Job, Run, Step, Task, Worker } from './state.ts';
+import { makeWait } from './waiting.ts';
 
 /** Delay before a task is placed again that did not start, or whose run was lost. */
 const retryDelayMs = 50;
@@ -73,6 +74,7 @@
     ),
     occurrences: new Map(),
     skippedUntilMs: -Infinity,
+    wait: makeWait(acceptedAtMs),
   };
   state.jobs.set(accepted.id, job);
   state.active.add(job);
--- a/src/scheduler/mod.ts
+++ b/src/scheduler/mod.ts
@@ -3,11 +3,12 @@
  */
 export * from './state.ts';
 export * from './jobs.ts';
-export { slackMs } from './order.ts';
+export { objectiveMs, slackMs } from './order.ts';
 export * from './decide.ts';
 export * from './pass.ts';
 export * from './pressure.ts';
 export * from './records.ts';
 export * from './tickets.ts';
+export * from './waiting.ts';
 export * from './workers.ts';
 export { refreshFree } from './rooms.ts';
--- a/src/scheduler/pass.ts
+++ b/src/scheduler/pass.ts
@@ -4,6 +4,7 @@
 import type { Configuration, Organisation, Queue } from '../model/mod.ts';
 import type { AdviceRequest } from './tickets.ts';
 import type { CellState, Job, QueueTerms, Run, Worker } from './state.ts';
+import { noteWait } from './waiting.ts';
 
 /** Why a step that has waiting tasks was not served in a pass. */
 export const HoldReason = {
@@ -29,6 +30,8 @@
   /** Steps that were not served, by reason; a step may be counted twice in a pass. */
   held: Record<HoldReason, number>;
   starts: Run[];
+  /** Jobs of which nothing was started and that from now on can only be done without worth. */
+  tooLate: Job[];
   adviceRequests: AdviceRequest<Slot>[];
 }
 
@@ -78,6 +81,12 @@
   decisions: Decisions<Slot>;
 }
 
+/** Notes that a step was not served, and why. */
+export function noteHeld({ decisions, nowMs }: Pass, job: Job, reason: HoldReason): void {
+  decisions.held[reason] += 1;
+  noteWait(job, reason, nowMs);
+}
+
 /** The figures of a job's queue: those in force, or those at acceptance once the queue is gone. */
 export function termsOf(job: Job, queue: Queue | undefined): QueueTerms {
   return queue ?? job.accepted.terms;
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -2,8 +2,7 @@
  * The durable record of a job's progress: what a successor needs to go on without starting a task
  * twice. Written before the starts that it lists are ordered.
  */
-import type { JobState } from '../model/mod.ts';
-import { isFinal } from '../model/mod.ts';
+import { isFinal, JobState } from '../model/mod.ts';
 import { stepsOf } from './jobs.ts';
 import { reserveRun } from './rooms.ts';
 import { makeRun, makeWorker } from './state.ts';
@@ -104,6 +103,7 @@
 ): void {
   job.state = record.state;
   job.storedState = record.state;
+  if (job.state !== JobState.Queued) job.wait = undefined;
   if (isFinal(job.state)) {
     job.endedAtMs = nowMs;
     state.active.delete(job);
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -3,6 +3,7 @@
  */
 import { noResources } from '../model/mod.ts';
 import type { AcceptedJob, JobState, Resources, StepSpec, WorkerEntry } from '../model/mod.ts';
+import type { Wait } from './waiting.ts';
 
 /** How far a run has come. */
 export const RunPhase = {
@@ -27,6 +28,11 @@
   bornMs: number;
   phase: RunPhase;
   orderedAtMs: number;
+  /** When the decision was stored and when the order was first sent; undefined before. */
+  storedAtMs: number | undefined;
+  sentAtMs: number | undefined;
+  /** How often the order was sent. */
+  sends: number;
   /** Last share of the work that the worker listed, and when that share first was listed. */
   percent: number;
   progressAtMs: number;
@@ -111,6 +117,8 @@
   occurrences: Map<number, Step[]>;
   /** Monotonic time before which passes skip the job, since it can only be late without worth. */
   skippedUntilMs: number;
+  /** Its wait until its first start; undefined once that was decided. */
+  wait: Wait | undefined;
   /** Monotonic time of the final state, after which the rows are kept for a while. */
   endedAtMs?: number;
 }
@@ -215,6 +223,9 @@
     ...fields,
     phase: RunPhase.Ordered,
     orderedAtMs: nowMs,
+    storedAtMs: undefined,
+    sentAtMs: undefined,
+    sends: 0,
     percent: 0,
     progressAtMs: nowMs,
     unsettled: false,
