--- /dev/null
+++ b/src/explain/delays_test.ts
@@ -0,0 +1,138 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { delaysIn } from './delays.ts';
+import { parseLog } from './log_line.ts';
+
+const test = suite('delays');
+
+type Fields = Record<string, unknown>;
+
+const dayMs = 1_000_000;
+
+/** Lines about one job; those of the entry process `edge-2`, the others of the scheduler `edge-1`. */
+function linesOf(id: string, lines: [time: number, event: string, fields?: Fields][]): string[] {
+  const ofEntry = new Set(['job-received', 'job-accepted', 'job-refused']);
+  return lines.map(([time, event, fields = {}]) => {
+    const process = ofEntry.has(event) ? 'edge-2' : 'edge-1';
+    return JSON.stringify({ level: 30, time: dayMs + time, process, event, id, ...fields });
+  });
+}
+
+/** A lookup of two tasks, of which the second one is started later and ends last. */
+function lookup(id: string, fromMs: number, objectiveMs: number): string[] {
+  const at = (ms: number) => fromMs + ms;
+  const run = (task: string, attempt = 1) => ({ task: `${id}.0.0.${task}`, attempt, worker: 'w1' });
+  const order = { storedAfterMs: 10, sentAfterMs: 12, afterMs: 20, sends: 1 };
+  return linesOf(id, [
+    [at(0), 'job-received', { queue: 'lookups' }],
+    [at(5), 'job-taken', { queue: 'lookups', objectiveMs }],
+    [at(15), 'job-accepted'],
+    [at(40), 'advice', { tookMs: 25 }],
+    [at(45), 'job-begun', { held: { unseen: 8, adviceSlot: 12, advicePending: 25 } }],
+    [at(65), 'started', { ...run('0'), ...order }],
+    [at(95), 'started', { ...run('1'), ...order }],
+    [at(300), 'ended', { ...run('0'), how: 'done' }],
+    [at(345), 'ended', { ...run('1'), how: 'failed' }],
+    [at(400), 'started', { ...run('1', 2), ...order }],
+    [at(500), 'ended', { ...run('1', 2), how: 'done' }],
+    [at(500), 'job-ended', { state: 'completed' }],
+  ]);
+}
+
+function report(...texts: string[]) {
+  const { queues } = delaysIn(parseLog(texts.join('\n')).lines);
+  return queues.map(({ queue, rows: [heading, ...rows] }) => ({
+    queue,
+    rows: rows.map((row) => Object.fromEntries(row.map((cell, i) => [heading![i]!, cell]))),
+  }));
+}
+
+test('stages that do not add up to the duration of a job would hide where its time went', () => {
+  const [queue] = report(...lookup('a', 0, 600));
+  const row = queue!.rows.at(-1)!;
+  const times = {
+    accept: '5/5',
+    store: '10/10',
+    pass: '15/15',
+    advice: '25/25',
+    rest: '30/30',
+    write: '10/10',
+    send: '2/2',
+    answer: '8/8',
+    worker: '250/250',
+    again: '155/155',
+  };
+  Object.entries(times).forEach(([stage, expected]) => assert.is(row[stage], expected, stage));
+  const parts = Object.entries(times).filter(([stage]) => stage !== 'store');
+  assert.is(
+    parts.reduce((sum, [, text]) => sum + Number.parseInt(text, 10), 0),
+    500,
+  );
+  assert.is(row.longest, 'worker');
+  assert.is(row.repeated, '1');
+  assert.is(row.badEnds, 'failed:1');
+  assert.is(row.held, 'advicePending:25,adviceSlot:12,unseen:8');
+});
+
+test('jobs counted in the second of their end would blame the wrong second', () => {
+  const [queue] = report(
+    ...lookup('a', 0, 600),
+    ...lookup('b', 900, 400),
+    ...lookup('c', 2_100, 100),
+  );
+  const rows = queue!.rows.map(({ second, jobs, inTime, late, tooLate }) =>
+    [second, jobs, inTime, late, tooLate].join(' '),
+  );
+  assert.equal(rows, ['0 2 1 1 0', '2 1 0 0 1', 'all 3 1 1 1']);
+});
+
+test('queues added up in one table would hide that one of them waits', () => {
+  const refused = linesOf('r', [
+    [0, 'job-received', { queue: 'plans' }],
+    [2, 'job-refused', { reason: 'busy' }],
+  ]);
+  const queues = report(...refused, ...lookup('a', 0, 600), ...lookup('b', 0, 600));
+  assert.equal(
+    queues.map(({ queue }) => queue),
+    ['lookups', 'plans'],
+  );
+  assert.is(queues[1]!.rows[0]!.refused, '1');
+});
+
+test('a job that nothing was started of tells what held it', () => {
+  const held = { room: 2_000, unseen: 4 };
+  const [queue] = report(
+    ...linesOf('a', [
+      [0, 'job-received', { queue: 'lookups' }],
+      [10, 'job-taken', { objectiveMs: 600 }],
+      [2_010, 'job-too-late', { held }],
+    ]),
+  );
+  const [row] = queue!.rows;
+  assert.is(row!.open, '1');
+  assert.is(row!.pass, '2000/2000');
+  assert.is(row!.held, 'room:2000,unseen:4');
+});
+
+test('a job that a successor decides anew counts the wait for the successor', () => {
+  const run = { task: 'a.0.0.0', attempt: 1, worker: 'w1' };
+  const [queue] = report(
+    ...linesOf('a', [
+      [0, 'job-received', { queue: 'lookups' }],
+      [10, 'job-taken', { objectiveMs: 600 }],
+      [20, 'job-begun', { held: { unseen: 10 } }],
+      [1_500, 'job-found', { queue: 'lookups' }],
+      [1_510, 'job-begun', { held: { unseen: 1_510 } }],
+      [1_540, 'started', { ...run, afterMs: 30, sends: 1 }],
+      [2_000, 'ended', { ...run, how: 'done' }],
+      [2_000, 'job-ended', { state: 'completed' }],
+    ]),
+  );
+  const [row] = queue!.rows;
+  assert.is(row!.pass, '1500/1500');
+  assert.is(row!.answer, '30/30');
+  assert.is(row!.tooLate, '1');
+});
+
+test.run();
--- a/src/explain/mod.ts
+++ b/src/explain/mod.ts
@@ -3,3 +3,5 @@
  */
 export * from './log_line.ts';
 export * from './story.ts';
+export { delaysIn } from './delays.ts';
+export type { Delays, QueueDelays } from './delays.ts';
--- a/src/operator/command.ts
+++ b/src/operator/command.ts
@@ -8,7 +8,7 @@
 import type { Context } from './_context.ts';
 import * as edits from './_edit_commands.ts';
 import * as jobs from './_job_commands.ts';
-import { explainFromLogs } from './_log_commands.ts';
+import { explainFromLogs, showDelays } from './_log_commands.ts';
 import * as settings from './_settings_commands.ts';
 import { makeClient } from './client.ts';
 import { ExitCode, wrong } from './exit.ts';
@@ -200,6 +200,16 @@
             : jobs.explain(context, id),
         ),
     )
+    .command(
+      'delays <logs..>',
+      'Show from log files where the time of jobs goes, second by second',
+      (y) =>
+        y
+          .positional('logs', { type: 'string', array: true, demandOption: true })
+          .option('queue', { type: 'string', describe: 'Only this queue' })
+          .example('$0 delays edge-*.log', 'The stages of all jobs'),
+      ({ logs, queue }) => run((context) => showDelays(context, { queue, files: logs })),
+    )
     .command(
       'state [member]',
       'Show the state of the asked process, or of a member',
--- a/src/operator/operator_test.ts
+++ b/src/operator/operator_test.ts
@@ -71,6 +71,23 @@
   rmSync(folder, { recursive: true });
 });
 
+test('delays reads log files without a fleet, and names the queue that it does not find', async () => {
+  const line = (time: number, event: string, fields: Record<string, unknown>) =>
+    JSON.stringify({ level: 30, time, process: 'edge-1', event, id: 'a1', ...fields });
+  const folder = makeFolder({
+    'edge-1.log': `${line(1_000, 'job-received', { queue: 'lookups' })}\n`,
+    'edge-2.log': `${line(1_040, 'job-taken', { queue: 'lookups' })}\n`,
+  });
+  const logs = ['edge-1.log', 'edge-2.log'].map((file) => path.join(folder, file));
+  const { code, text } = await dogwood(['delays', ...logs]);
+  assert.is(code, 0);
+  assert.match(text, /queue lookups\nsecond[^]*\nall .* 40\/40 /);
+  const other = await dogwood(['delays', ...logs, '--queue', 'plans']);
+  assert.is(other.code, 2);
+  assert.match(other.text, 'no jobs of queue plans');
+  rmSync(folder, { recursive: true });
+});
+
 test('a check that needs a server, or stops at one fault, would let faults reach the fleet', async () => {
   const good = makeFolder();
   const checked = await dogwood(['check', good]);
