Remember in the claim that a silent predecessor may still renew leases

What workers would see: after a partition a scheduler that the store no longer reaches goes on to renew leases at the workers on its side for 12 s. A successor counts these workers as dead only after that time. When the successor is itself replaced within those 12 s, by a planned restart, or by itself because the answer to its claim was lost, the next scheduler gave the workers up after one lease and started their tasks elsewhere while they still ran (rule TWICE). Cause: whether a predecessor may still act was worked out from the reason for the claim alone, so only for the immediate predecessor. A resigned scheduler, or 'an earlier start of this process', was taken for proof that nobody else renews. A claim without an answer that took effect is seen as such an earlier start. Change: the claim tells it, everybody who sees such a claim keeps it in mind for 12 s of its own monotonic time from then on, and the claims and resignations within that time repeat it. A claim is seen after it was made, and the silent scheduler has stored nothing since, so the time suffices. Evidence: both tests failed before ("may still renew leases" was false). Ruled out: the time of the predecessor's last transaction in the claim, since the clocks of hosts step; a longer wait after every claim, since it delays the tasks of lost workers on planned restarts.

--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -9,6 +9,7 @@
 import { Kind } from '../errors/mod.ts';
 import type { Log } from '../logs/mod.ts';
 import type { Store, StoreChange, StoredRow } from '../model/mod.ts';
+import { renewWithoutStoreMs } from './_term_state.ts';
 import { makeFollower } from './follower.ts';
 import { claimRow, heartbeatRow, leadershipTable, sequenceRow } from './rows.ts';
 
@@ -19,14 +20,13 @@
   instance: string;
   name: string;
   address: string;
+  /** Whether a predecessor may still have renewed leases at workers that it reached. */
+  predecessorMayAct: boolean;
 }
 
 /** A claim that this process has won. */
-export interface WonClaim {
-  epoch: number;
+export interface WonClaim extends Pick<Claim, 'epoch' | 'predecessorMayAct'> {
   sequence: { version: number; value: string };
-  /** Whether the predecessor may still renew leases at workers that it reaches. */
-  predecessorMayAct: boolean;
 }
 
 /** The heartbeat of the scheduler, as the others see it. */
@@ -102,14 +102,22 @@
   let silentInstance: string | undefined;
   let turnedAwayInstance: string | undefined;
   let wonEpoch = 0;
+  /** Monotonic time until which schedulers before the present one may renew leases. */
+  let predecessorsUntilMs = -Infinity;
+
+  function noteClaim(next: Claim, version: number): void {
+    claim = next;
+    claimVersion = version;
+    signAtMs = clock.now();
+    if (next.predecessorMayAct) predecessorsUntilMs = clock.now() + renewWithoutStoreMs;
+  }
 
   function takeClaim(row: StoredRow): void {
     if (row.version <= claimVersion) return;
-    claimVersion = row.version;
-    claim = JSON.parse(row.value) as Claim;
-    signAtMs = clock.now();
-    log.info('scheduler claim seen', { event: 'claim-seen', ...claim, version: row.version });
-    if (claim.instance !== self.instance) onOther(claim);
+    const seen = JSON.parse(row.value) as Claim;
+    noteClaim(seen, row.version);
+    log.info('scheduler claim seen', { event: 'claim-seen', ...seen, version: row.version });
+    if (seen.instance !== self.instance) onOther(seen);
   }
 
   function takeRow(row: StoredRow): void {
@@ -154,11 +162,17 @@
     return undefined;
   }
 
+  function mayPredecessorsAct(): boolean {
+    return clock.now() < predecessorsUntilMs;
+  }
+
   async function tryClaim(reason: string): Promise<void> {
     const predecessor = claim;
     const epoch = (predecessor?.epoch ?? 0) + 1;
     const sequenceValue = `${epoch}.${self.instance}.0`;
-    const next: Claim = { epoch, ...self };
+    const predecessorMayAct =
+      reason === heartbeatStopped || reason === turnedAway || mayPredecessorsAct();
+    const next: Claim = { epoch, ...self, predecessorMayAct };
     const change: StoreChange = {
       expected: [{ ...claimRow, version: claimVersion }],
       writes: [
@@ -174,15 +188,9 @@
       },
       Right: (version) => {
         wonEpoch = epoch;
-        claim = next;
-        claimVersion = version;
-        signAtMs = clock.now();
+        noteClaim(next, version);
         log.info('scheduler claim won', { event: 'scheduler-won', epoch, reason });
-        onWon({
-          epoch,
-          sequence: { version, value: sequenceValue },
-          predecessorMayAct: reason === heartbeatStopped || reason === turnedAway,
-        });
+        onWon({ epoch, sequence: { version, value: sequenceValue }, predecessorMayAct });
       },
     });
   }
@@ -213,7 +221,7 @@
     },
     async resign(timeoutMs) {
       if (claim?.instance !== self.instance) return;
-      const resigned: Claim = { ...claim, instance: '' };
+      const resigned = { ...claim, instance: '', predecessorMayAct: mayPredecessorsAct() };
       const result = await store.transact(
         {
           expected: [{ ...claimRow, version: claimVersion }],
--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -112,4 +112,35 @@
   assert.is(claim.predecessorMayAct, true);
 });
 
+test('a scheduler that fell silent is not taken to be gone when its successor is replaced soon after', () =>
+  withAbort(async (signal) => {
+    const store = makeFakeStore();
+    const silent = candidate(store, 'a', signal, () => silent.won.length === 0);
+    await until(() => silent.won.length > 0);
+    const first = candidate(store, 'b', signal, () => first.won.length === 0);
+    await until(() => first.won.length > 0);
+    assert.is(first.won[0]!.predecessorMayAct, true);
+    const second = candidate(store, 'c', signal);
+    await first.leadership.resign(1_000);
+    await until(() => second.won.length > 0);
+    assert.is(second.won[0]!.predecessorMayAct, true, 'a may still renew leases');
+  }));
+
+test('a claim whose answer was lost does not make a silent predecessor count as gone', () =>
+  withAbort(async (signal) => {
+    const store = makeFakeStore();
+    const silent = candidate(store, 'a', signal, () => silent.won.length === 0);
+    await until(() => silent.won.length > 0);
+    let isLost = true;
+    store.setFate(() => {
+      const fate = isLost ? 'unanswered' : 'done';
+      isLost = false;
+      return fate;
+    });
+    const successor = candidate(store, 'b', signal);
+    await until(() => successor.won.length > 0);
+    assert.is(successor.won[0]!.epoch, 3);
+    assert.is(successor.won[0]!.predecessorMayAct, true);
+  }));
+
 test.run();
--- a/src/host/scheduler_watch_test.ts
+++ b/src/host/scheduler_watch_test.ts
@@ -25,7 +25,13 @@
       await Promise.resolve();
     },
   };
-  const claim = { epoch: 1, instance: 'a', name: 'host-a', address: '10.0.0.1:7420' };
+  const claim = {
+    epoch: 1,
+    instance: 'a',
+    name: 'host-a',
+    address: '10.0.0.1:7420',
+    predecessorMayAct: false,
+  };
   const leadership = {
     claim: () => claim,
     reportRejected: () => reports.push(['rejected', nowMs]),
