Send no start with a lease once a scheduler without the store may not renew leases

What workers would see: a scheduler that the store has not answered for 12 s stops its renewals, but went on to send its unanswered starts again, each with a new lease of 4.5 s for all that runs on the worker; so does one that was frozen for longer than that, when it wakes. A successor that does not reach this worker counts it as dead 12 s and one lease after its own claim, and then starts the tasks elsewhere (rule TWICE). Cause: the bound on renewals was checked in the loop of the renewals only, though a start extends the lease as well. Change: without permission to renew there is no lease end for orders; such a start waits as one to a silent worker does, and is sent again once the store has answered. Ruled out: a check in the orders, since the link alone knows what the successor counts on. New starts are not held up: they are sent right after a transaction was confirmed.

--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -14,7 +14,8 @@
   run(signal: AbortSignal): Promise<void>;
   /**
    * Lease end for an order that is sent now, on the worker's clock; undefined while it does not
-   * answer, since any order sent to a silent worker would put off the time at which it is dead.
+   * answer, since any order sent to a silent worker would put off the time at which it is dead, and
+   * while leases may not be renewed, since a start renews them too.
    */
   leaseUntilMs(): number | undefined;
   /** Monotonic time after which nothing runs there any more unless the lease is renewed. */
@@ -33,7 +34,7 @@
   maxLeaseMs: number;
   /** Monotonic time until which a predecessor's orders may keep runs alive. */
   predecessorUntilMs: number;
-  /** Whether renewals still may be sent. */
+  /** Whether leases still may be renewed. */
   mayRenew(): boolean;
   /** Takes a report; resolves with true once the ends in it are stored. */
   onReport(report: WorkerReport, sentAtMs: number): Promise<boolean>;
@@ -65,7 +66,7 @@
   let deadAtMs = options.predecessorUntilMs;
 
   function leaseUntilMs(): number | undefined {
-    if (!reading) return undefined;
+    if (!reading || !options.mayRenew()) return undefined;
     const nowMs = clock.now();
     deadAtMs = Math.max(deadAtMs, nowMs + leaseMs * clockSlowness + deadSlackMs);
     return Math.floor(reading.workerMs + (nowMs - reading.atMs) + leaseMs);
--- a/src/cell/worker_link_test.ts
+++ b/src/cell/worker_link_test.ts
@@ -19,7 +19,13 @@
 function setUp(answers: (WorkerReport | Rejection)[]) {
   const abort = new AbortController();
   const renewals: Renewal[] = [];
-  const events = { fenced: false, stored: true, neverStores: false, reportedAtMs: 0 };
+  const events = {
+    fenced: false,
+    stored: true,
+    neverStores: false,
+    mayRenew: true,
+    reportedAtMs: 0,
+  };
   let nowMs = 0;
   const clock: Clock = {
     ...systemClock,
@@ -50,7 +56,7 @@
     leaseMs: 4_000,
     maxLeaseMs: 6_000,
     predecessorUntilMs: 0,
-    mayRenew: () => true,
+    mayRenew: () => events.mayRenew,
     onReport() {
       events.reportedAtMs = nowMs;
       return events.neverStores ? never : Promise.resolve(events.stored);
@@ -148,6 +154,16 @@
   assert.ok(link.deadAtMs() >= events.reportedAtMs + 6_000);
 });
 
+test('a start extends no lease once renewals may not, since a successor counts on their end', async () => {
+  const { link, events, run } = setUp([report(50_000)]);
+  await run();
+  assert.ok(link.leaseUntilMs() !== undefined);
+  const deadAtMs = link.deadAtMs();
+  events.mayRenew = false;
+  assert.is(link.leaseUntilMs(), undefined);
+  assert.is(link.deadAtMs(), deadAtMs);
+});
+
 test('a worker that has seen a higher token ends the term', async () => {
   const { events, run } = setUp([Rejection.Fenced]);
   await run();
