Do not refuse a job on one process's word after another may have stored it

What callers would see: a process that cannot serve a job passes it on to up to two others. When the first of them answers 504, or its answer is lost, and the second answers 429 (or 401, 404), the client gets that refusal, though the job may be stored and then runs (rule REFUSED). Cause: the relay kept "unknown" only beside 503 and 504 of the next process; any other status was taken for the outcome of the whole call. A full queue is judged before the store has shown a late write, so the second process does not know better. Change: once a call that is not a question has an unknown outcome, only a success of the next process ends it; otherwise it is answered 504, and the client sends it again with the same id. Ruled out: not asking the second process at all; its success is a certain answer.

--- a/src/host/peer_group.ts
+++ b/src/host/peer_group.ts
@@ -1,9 +1,11 @@
 /**
  * Calls to whichever other entry process can serve them: the scheduler's first, then the rest.
  */
+import type { Either } from 'purify-ts';
+
 import type { Member } from '../cell/mod.ts';
 import { Kind, refuse } from '../errors/mod.ts';
-import type { Outcome } from '../errors/mod.ts';
+import type { Failure, Outcome } from '../errors/mod.ts';
 import type { ClientAnswer, ClientCall } from '../front/mod.ts';
 import type { PeerClient } from './peers.ts';
 import type { WishesMessage } from './wishes.ts';
@@ -18,9 +20,18 @@
 
 const relayTries = 2;
 const wishesAsked = 3;
+const okStatus = 200;
 const unavailableStatus = 503;
 const unknownStatus = 504;
 
+/** The status of an answer; a process that did not answer counts as one that could not serve. */
+function statusOf(answer: Either<Failure, ClientAnswer>): number {
+  return answer.caseOf({
+    Left: ({ kind }) => (kind === Kind.OutcomeUnknown ? unknownStatus : unavailableStatus),
+    Right: ({ status }) => status,
+  });
+}
+
 /**
  * Makes the group; `others` lists the other processes, those to be asked first at the head.
  *
@@ -33,15 +44,11 @@
       let isUnknown = false;
       for (const { address } of others().slice(0, relayTries)) {
         const answer = await peers.relay(address, call);
-        const status = answer.map((given) => given.status).orDefault(0);
-        if (answer.isRight() && status !== unavailableStatus && status !== unknownStatus) {
-          return answer;
-        }
-        const isLost = answer
-          .swap()
-          .toMaybe()
-          .filter(({ kind }) => kind === Kind.OutcomeUnknown);
-        isUnknown ||= status === unknownStatus || isLost.isJust();
+        const status = statusOf(answer);
+        const isServed = status !== unavailableStatus && status !== unknownStatus;
+        // What an earlier process may have done is not undone by the refusal of the next one.
+        if (isServed && (!isUnknown || status === okStatus)) return answer;
+        isUnknown ||= status === unknownStatus && call.method !== 'GET';
       }
       return refuse(
         isUnknown ? Kind.OutcomeUnknown : Kind.PeerUnavailable,
