Take an internal error of another process for an unknown outcome

What callers would see: the jobs that a process hands to the scheduler travel in one call. When the handling of one of them throws, the call is answered 500, and all its jobs counted as not taken ("nothing was written"), though the scheduler has entered the others in its state and stores them. A process whose own store is down then refuses them with 503, and they run (rule REFUSED). The same holds for a relayed call whose handling throws after its write. Cause: every status but 200 was mapped to 'the other process rejected the call'. Change: errors of the server other than 503 are unknown outcomes. 503 and the statuses below 500 are given by the server before it acts. Ruled out: catching errors job by job in the server, which leaves other errors and the relay.

--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -58,6 +58,8 @@
   ping(address: string): Promise<Pong>;
 }
 
+const serverErrorStatus = 500;
+const unavailableStatus = 503;
 const connections = 16;
 const relayTimeoutMs = 1_300;
 const wishesTimeoutMs = 500;
@@ -165,7 +167,10 @@
       return refuse(kind, 'the other process did not answer', { got: answer.reason });
     }
     if (answer.status !== 200) {
-      return refuse(Kind.PeerUnavailable, 'the other process rejected the call', {
+      // An error of the server may come after a part of the call has taken effect.
+      const isCertain = answer.status < serverErrorStatus || answer.status === unavailableStatus;
+      const kind = isCertain ? Kind.PeerUnavailable : Kind.OutcomeUnknown;
+      return refuse(kind, 'the other process rejected the call', {
         got: answer.status,
       });
     }
