Do not take a run for lost whose end may be on a later page of its worker's list

What workers would see: a worker lists at most 500 unconfirmed ends at a time. Cause: a report was always taken for a whole list. Change: a full list of ends tells only what it shows. Runs that it lacks are judged by the next list that is not full, and a worker that is new to this scheduler takes no work until then. Since every listed run belongs to the incarnation that lists it, runs of earlier incarnations are those that are absent, and both cases are one. Ruled out: looking for a gap in the sequence numbers, since ends that were confirmed are gaps too.

--- a/src/cell/worker_link_test.ts
+++ b/src/cell/worker_link_test.ts
@@ -70,7 +70,7 @@
 }
 
 function report(clockMs: number, fields: Partial<WorkerReport> = {}): WorkerReport {
-  return { clockMs, bornMs: 1, running: [], ended: [], ...fields };
+  return { clockMs, bornMs: 1, running: [], ended: [], hasMoreEnds: false, ...fields };
 }
 
 function ended(sequence: number) {
--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -62,6 +62,8 @@
   bornMs: number;
   running: RunningRun[];
   ended: EndedRun[];
+  /** There may be further ends, which are listed once these are confirmed. */
+  hasMoreEnds: boolean;
 }
 
 /** An order to start a run. */
--- a/src/scheduler/workers.ts
+++ b/src/scheduler/workers.ts
@@ -82,27 +82,25 @@
   report: WorkerReport,
   { nowMs, sentAtMs }: { nowMs: number; sentAtMs: number },
 ): Observation {
-  // The token of this scheduler now keeps out all orders of its predecessors: what the first list
-  // does not show has not started and never will.
+  // The token of this scheduler now keeps out all orders of its predecessors: what the first whole
+  // list does not show has not started and never will.
   const isFirst = !worker.isSettled;
   worker.bornMs = report.bornMs;
   worker.isAnswering = true;
-  worker.isSettled = true;
+  worker.isSettled ||= !report.hasMoreEnds;
   const listed = new Set([...report.running, ...report.ended].map(keyOf));
   const mayStart = (run: Run) => !isFirst && mayStillStart(run, sentAtMs);
-  adoptRuns(worker, report, (run) => listed.has(runKey(run)) || mayStart(run));
+  const isPresent = (run: Run) => listed.has(runKey(run)) || mayStart(run);
+  adoptRuns(worker, report, isPresent);
   noteProgress(worker, report, nowMs);
-  const runs = [...worker.runs.values()];
-  const earlier = runs.filter(({ bornMs }) => bornMs !== report.bornMs);
-  const own = runs.filter(({ bornMs }) => bornMs === report.bornMs);
   const reported = report.ended.flatMap(({ task, attempt, end, checkpoint }) => {
     const run = worker.runs.get(keyOf({ task, attempt }));
-    return run && own.includes(run) ? [{ run, end, checkpoint }] : [];
+    return run ? [{ run, end, checkpoint }] : [];
   });
-  const lost = own.filter((run) => !listed.has(runKey(run)) && !mayStart(run));
-  const ends = [...earlier.map(lostRun), ...reported, ...lost.map(lostRun)];
+  const absent = [...worker.runs.values()].filter((run) => !isPresent(run));
+  const lost = report.hasMoreEnds ? [] : absent.map(lostRun);
   const strangers = report.running.filter((each) => !worker.runs.has(keyOf(each)));
-  return { ends, strangers };
+  return { ends: [...reported, ...lost], strangers };
 }
 
 /** Counts the end of a run for or against its worker. */
--- a/src/scheduler/workers_test.ts
+++ b/src/scheduler/workers_test.ts
@@ -15,7 +15,7 @@
 import { addJob, countPending } from './jobs.ts';
 import { encodeProgress, restoreProgress } from './records.ts';
 import type { JobRecord } from './records.ts';
-import { makeCellState, RunPhase, taskName } from './state.ts';
+import { makeCellState, RunPhase, runKey, taskName } from './state.ts';
 import type { CellState, Run } from './state.ts';
 import { judgeWorker, observe, stalledRuns } from './workers.ts';
 
@@ -30,13 +30,17 @@
 }
 
 function report(fields: Partial<WorkerReport> = {}): WorkerReport {
-  return { clockMs: 0, bornMs: 1, running: [], ended: [], ...fields };
+  return { clockMs: 0, bornMs: 1, running: [], ended: [], hasMoreEnds: false, ...fields };
 }
 
 function listed(run: Run, percent = 0) {
   return { task: taskName(run), attempt: run.attempt, checkpoint: '', percent, usage: 0 };
 }
 
+function endedAsDone(run: Run) {
+  return { ...listed(run), sequence: 1, end: RunEnd.Done };
+}
+
 test('a run of an earlier incarnation is lost, and one of the present is not', () => {
   const state = cellWith(1);
   submit(state, acceptedJob('a', [stepSpec({ count: 2 })]));
@@ -64,7 +68,7 @@
     report({
       bornMs: 2,
       running: [listed(running!)],
-      ended: [{ ...listed(done!), sequence: 1, end: RunEnd.Done }],
+      ended: [endedAsDone(done!)],
     }),
     { nowMs: 10, sentAtMs: 5 },
   );
@@ -110,6 +114,29 @@
   assert.ok(worker.isSettled);
 });
 
+test('a run whose end may be on a later page is not taken to be lost', () => {
+  const state = cellWith(1);
+  const worker = state.workers.get('w1')!;
+  submit(state, acceptedJob('a', [stepSpec({ count: 2 })]));
+  const [first, second] = startAll(state);
+  second!.phase = RunPhase.Ordered;
+  worker.isSettled = false;
+  const page = { bornMs: 2, hasMoreEnds: true, ended: [endedAsDone(first!)] };
+  const { ends } = observe(worker, report(page), { nowMs: 10, sentAtMs: 5 });
+  assert.equal(
+    ends.map(({ run }) => run),
+    [first],
+  );
+  assert.not.ok(worker.isSettled, 'nothing is placed there while its list is not known');
+  worker.runs.delete(runKey(first!));
+  const next = observe(worker, report({ bornMs: 2 }), { nowMs: 20, sentAtMs: 15 });
+  assert.equal(
+    next.ends.map(({ run, end }) => [run, end]),
+    [[second, RunEnd.Expired]],
+  );
+  assert.ok(worker.isSettled);
+});
+
 test('runs that nobody ordered are reported', () => {
   const state = cellWith(1);
   const worker = state.workers.get('w1')!;
