Do not say that a job was not taken while an earlier call of it is being stored

What callers would see: a job whose storing meets a failing store is answered 504. When the client sends it again while the store still fails, it got 503 and Retry-After, which says that the job never runs; but the scheduler holds it, stores it when the store is back, and runs it. Cause: without permission to write the service answered 'not taken' without looking whether it knows the job. Change: a known job has an unknown outcome then, so the repeat is answered 504 as the first call was. Evidence: the test failed before (not-taken instead of unknown).

--- a/src/cell/service.ts
+++ b/src/cell/service.ts
@@ -103,7 +103,8 @@
 
   return {
     async submit(job) {
-      if (!mayWrite()) return Submission.NotTaken;
+      // A job that is known may be stored by an earlier call, also when this one writes nothing.
+      if (!mayWrite()) return state.jobs.has(job.id) ? Submission.Unknown : Submission.NotTaken;
       if (!state.jobs.has(job.id)) {
         if (isOverloaded(job)) return Submission.Overloaded;
         const ageMs = Math.max(0, clock.wall() - job.acceptedAtMs);
--- a/src/cell/service_test.ts
+++ b/src/cell/service_test.ts
@@ -68,4 +68,12 @@
     assert.ok(service.storeFailingMs() > 0);
   }));
 
+test('a job whose storing is under way is not refused when it is sent again', () =>
+  withTerm(async ({ service }, store) => {
+    store.setFate(() => 'rejected');
+    const job = acceptedJob('a1', [stepSpec()]);
+    assert.is(await service.submit(job), Submission.Unknown);
+    assert.is(await service.submit(job), Submission.Unknown);
+  }));
+
 test.run();
