--- a/src/logs/mod.ts
+++ b/src/logs/mod.ts
@@ -36,8 +36,10 @@
   error(message: string, fields?: Record<string, unknown>): void;
 }
 
-/** A bounded log is written in pieces of this size, or after the time. */
-const minWriteBytes = 8_192;
+/** A bounded log is written in pieces of at least this size, or after the time. */
+const minWriteBytes = 4_096;
+/** Some readers keep only so much of one write, and a cut write costs its last lines. */
+const maxWriteBytes = 8_192;
 const flushMs = 200;
 
 /**
@@ -57,7 +59,12 @@
     sync: false,
     ...(maxBufferBytes === undefined
       ? {}
-      : { maxLength: maxBufferBytes, minLength: minWriteBytes, periodicFlush: flushMs }),
+      : {
+          maxLength: maxBufferBytes,
+          minLength: minWriteBytes,
+          maxWrite: maxWriteBytes,
+          periodicFlush: flushMs,
+        }),
   });
   const root = pino({ level, base: { process: name } }, destination);
   return (part) => {
--- /dev/null
+++ b/src/logs/mod_test.ts
@@ -0,0 +1,51 @@
+import fs from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { makeLogs, Part } from './mod.ts';
+
+const test = suite('logs');
+
+const lineCount = 600;
+const readerBytes = 8_192;
+
+/** Waits until a file holds the number of lines, and returns its text. */
+async function readLines(file: string, count: number): Promise<string> {
+  for (;;) {
+    const text = fs.readFileSync(file, 'utf8');
+    if (text.split('\n').length > count) return text;
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+}
+
+test('a write larger than what a reader keeps of one would lose lines in a burst', async () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'logs-'));
+  const file = path.join(folder, 'out.log');
+  const fd = fs.openSync(file, 'w');
+  const sizes: number[] = [];
+  const original = fs.write;
+  fs.write = new Proxy(original, {
+    apply(write, self, args: [number, string]) {
+      if (args[0] === fd) sizes.push(Buffer.byteLength(args[1]));
+      return Reflect.apply(write, self, args);
+    },
+  });
+  try {
+    const log = makeLogs({ process: 'edge-1', fd, maxBufferBytes: 1_000_000 })(Part.Cell);
+    for (let i = 0; i < lineCount; i++) log.info('text', { event: 'ended', number: i });
+    const text = await readLines(file, lineCount);
+    assert.is(text.trimEnd().split('\n').length, lineCount);
+    assert.ok(sizes.length > 1);
+    assert.ok(Math.max(...sizes) <= readerBytes, `one write has ${Math.max(...sizes)} bytes`);
+  } finally {
+    fs.write = original;
+    fs.rmSync(folder, { recursive: true });
+  }
+});
+
+test.run();
