--- a/src/explain/delays_test.ts
+++ b/src/explain/delays_test.ts
@@ -135,4 +135,17 @@
   assert.is(row!.tooLate, '1');
 });
 
+test('a run whose first line was lost does not count as an answer that took long', () => {
+  const run = { task: 'a.0.0.0', attempt: 1, worker: 'w1', how: 'done' };
+  const lines = (reason: string) =>
+    linesOf('a', [
+      [0, 'job-received', { queue: 'lookups' }],
+      [5, 'job-taken', { objectiveMs: 600 }],
+      [10, 'job-begun', { held: {} }],
+      [900, 'ended', { ...run, reason }],
+    ]);
+  assert.is(report(...lines('reported'))[0]!.rows[0]!.answer, '-');
+  assert.is(report(...lines('rejected: ticket'))[0]!.rows[0]!.answer, '890/890');
+});
+
 test.run();
--- a/src/explain/job_stages.ts
+++ b/src/explain/job_stages.ts
@@ -23,7 +23,7 @@
   'write',
   /** The decision is stored; the order was not sent. */
   'send',
-  /** The order was sent; the worker has not answered. */
+  /** The order was sent; the worker has not answered. For a rejected start since `job-begun`. */
   'answer',
   /** The worker runs the first attempt. */
   'worker',
@@ -119,8 +119,9 @@
   const again = between(ended?.time, jobEnd?.time);
   const afterMs = numberIn(started, 'afterMs');
   if (!started || afterMs === undefined) {
-    // The start was rejected or never answered.
-    return { answer: between(begun?.time, ended?.time), again };
+    // Without its first line the time of the run itself is not known, unless it did not take place.
+    const isRejected = String(ended?.fields.reason).startsWith('rejected');
+    return { answer: isRejected ? between(begun?.time, ended?.time) : undefined, again };
   }
   const storedMs = numberIn(started, 'storedAfterMs') ?? 0;
   const sentMs = numberIn(started, 'sentAfterMs') ?? storedMs;
