Rank the candidates for the scheduler's role by what the store tells of all of them

Cause: a process ranked itself by its present client connections and the others by their rows, which are up to 5 s old. Ruled out: late knowledge of the silence (all processes knew it 0.90 to 0.94 s after the last heartbeat, which is the bound), the store (13 ms for the claim). Change: the own row counts as the store tells it, so all come to the same order. Test: membership_test, failed before (all three ranked third).

--- a/src/host/membership.ts
+++ b/src/host/membership.ts
@@ -11,7 +11,10 @@
 /** The list. */
 export interface Membership {
   run(signal: AbortSignal): Promise<void>;
-  /** The entry processes that have been seen lately, this one included. */
+  /**
+   * The entry processes that have been seen lately, this one included: all as the store tells, so that
+   * processes which compare them come to the same order.
+   */
   members(): Member[];
 }
 
@@ -72,10 +75,12 @@
     members() {
       // While the store does not answer, silence says nothing about the others.
       const viewAtMs = follower.currentAtMs() ?? clock.now();
+      const own = self();
       const others = [...seen.values()]
-        .filter(({ member, atMs }) => member.name !== self().name && viewAtMs - atMs < goneAfterMs)
+        .filter(({ member, atMs }) => member.name !== own.name && viewAtMs - atMs < goneAfterMs)
         .map(({ member }) => member);
-      return [self(), ...others];
+      const stored = seen.get(own.name)?.member;
+      return [stored?.instance === own.instance ? stored : own, ...others];
     },
   };
 }
