--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -55,15 +55,16 @@
   states(address: string, ids: string[]): Outcome<(JobState | undefined)[]>;
   /** Cancels jobs; false where that may not be stored. */
   cancel(address: string, ids: string[]): Outcome<boolean[]>;
-  ping(address: string): Promise<Pong>;
+  ping(address: string, timeoutMs: number): Promise<Pong>;
 }
 
+const serverErrorStatus = 500;
+const unavailableStatus = 503;
 const connections = 16;
 const relayTimeoutMs = 1_300;
 const wishesTimeoutMs = 500;
 const cellTimeoutMs = 1_600;
 const statesTimeoutMs = 500;
-const pingTimeoutMs = 350;
 const adviceMarginMs = 200;
 const maxBodyBytes = 1_048_576;
 
@@ -136,7 +137,7 @@
  *
  * @example
  * const peers = makePeerClient(systemClock);
- * await peers.ping('10.0.0.8:7420');
+ * await peers.ping('10.0.0.8:7420', 350);
  */
 export function makePeerClient(clock: Clock): PeerClient {
   const callers = new Map<string, Caller>();
@@ -165,7 +166,10 @@
       return refuse(kind, 'the other process did not answer', { got: answer.reason });
     }
     if (answer.status !== 200) {
-      return refuse(Kind.PeerUnavailable, 'the other process rejected the call', {
+      // An error of the server may come after a part of the call has taken effect.
+      const isCertain = answer.status < serverErrorStatus || answer.status === unavailableStatus;
+      const kind = isCertain ? Kind.PeerUnavailable : Kind.OutcomeUnknown;
+      return refuse(kind, 'the other process rejected the call', {
         got: answer.status,
       });
     }
@@ -197,11 +201,11 @@
         timeoutMs: relayTimeoutMs,
       }),
     wishes: (address) => call(address, '/wishes', { timeoutMs: wishesTimeoutMs }),
-    async ping(address) {
+    async ping(address, timeoutMs) {
       const answer = await callerOf(address).call({
         method: 'GET',
         path: '/ping',
-        timeoutMs: pingTimeoutMs,
+        timeoutMs,
       });
       if (isNoAnswer(answer)) {
         return { isRefused: answer.isRefused, storeFailingMs: 0, storeRejectedMs: 0 };
