Log whether the limit or the share of an organisation makes the scheduler refuse a job

The line of an entry process named the share for every refusal of the scheduler. The scheduler's line job-turned-away names the reason, and dogwood explain tells it. No decision changes. Test: story_test, failed before.

--- a/src/cell/service.ts
+++ b/src/cell/service.ts
@@ -7,7 +7,7 @@
  */
 import type { AcceptedJob, JobState } from '../model/mod.ts';
 import { addJob, objectiveMs } from '../scheduler/mod.ts';
-import type { Job } from '../scheduler/mod.ts';
+import type { Job, RefusalReason } from '../scheduler/mod.ts';
 import type { Ends } from './_ends.ts';
 import type { Term } from './_term_state.ts';
 import { acceptedRow } from './rows.ts';
@@ -42,7 +42,8 @@
 /** What the service asks other parts of the term. */
 export interface CellServiceOptions {
   isLoaded(): boolean;
-  isOverloaded(job: AcceptedJob): boolean;
+  /** Why a further job is refused; undefined when it is not. */
+  refusalOf(job: AcceptedJob): RefusalReason | undefined;
 }
 
 /** What decides where and when a job can run, for its first log line. */
@@ -78,7 +79,7 @@
 export function makeCellService(
   term: Term,
   ends: Ends,
-  { isLoaded, isOverloaded }: CellServiceOptions,
+  { isLoaded, refusalOf }: CellServiceOptions,
 ): CellService {
   const { state, clock, log, journal } = term;
 
@@ -113,7 +114,12 @@
       // A job that is known may be stored by an earlier call, also when this one writes nothing.
       if (!mayWrite()) return state.jobs.has(job.id) ? Submission.Unknown : Submission.NotTaken;
       if (!state.jobs.has(job.id)) {
-        if (isOverloaded(job)) return Submission.Overloaded;
+        const reason = refusalOf(job);
+        if (reason !== undefined) {
+          const { id, organisation } = job;
+          log.info('job turned away', { event: 'job-turned-away', id, organisation, reason });
+          return Submission.Overloaded;
+        }
         const ageMs = Math.max(0, clock.wall() - job.acceptedAtMs);
         const added = addJob(state, job, clock.now() - ageMs);
         journal.mark(acceptedRow(job.id), () => JSON.stringify(job));
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -12,9 +12,9 @@
   countPending,
   encodeProgress,
   fleetLoad,
-  isRefused,
   lostRun,
   makeCellState,
+  refusalReason,
   runsOf,
   taskName,
 } from '../scheduler/mod.ts';
@@ -183,7 +183,7 @@
   const pressure = makePressureView(term);
   const service = makeCellService(term, ends, {
     isLoaded: () => isLoaded,
-    isOverloaded: (job) => isRefused(pressure.current(), job),
+    refusalOf: (job) => refusalReason(pressure.current(), job),
   });
   const readRegistry = () => store.read({ table: options.registryTable, part: '' });
 
--- a/src/explain/cause.ts
+++ b/src/explain/cause.ts
@@ -57,7 +57,9 @@
 function refused(evidence: Evidence): string | undefined {
   const line = linesOf(evidence, 'job-refused').at(-1);
   if (!line || wasTaken(evidence)) return undefined;
-  return `refused by ${line.process}: ${String(line.fields.reason)}`;
+  const turnedAway = linesOf(evidence, 'job-turned-away').at(-1);
+  const why = turnedAway ? ` (${String(turnedAway.fields.reason)})` : '';
+  return `refused by ${line.process}: ${String(line.fields.reason)}${why}`;
 }
 
 function notStored(evidence: Evidence): string | undefined {
--- a/src/explain/story_test.ts
+++ b/src/explain/story_test.ts
@@ -48,6 +48,16 @@
   assert.is(cause, 'cause: refused by edge-1: the queue is busy');
 });
 
+test('a refusal for the limit of an organisation is told from one for its share', () => {
+  const refusedAfter = (reason: string) =>
+    causeIn(
+      about(1, 'job-turned-away', { reason }),
+      about(2, 'job-refused', { reason: 'the scheduler has turned it away' }),
+    );
+  assert.match(refusedAfter('limit'), /turned it away \(limit\)/);
+  assert.match(refusedAfter('share'), /turned it away \(share\)/);
+});
+
 test('a job that a process without the store could not keep is told from one that was stored later', () => {
   const lost = line(500, 'dependency-lost', { table: 'op' });
   const notStored = about(900, 'job-not-stored', { reason: 'no answer within 900 ms' });
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -118,7 +118,7 @@
   }
 
   /** Refuses a job, unless an earlier call with its id was accepted without the client hearing so. */
-  async function refuseForLoad(call: RoutedCall): Promise<ClientAnswer> {
+  async function refuseForLoad(call: RoutedCall, reason: string): Promise<ClientAnswer> {
     const known = await isKnown(call.jobId);
     return known.caseOf<ClientAnswer | Promise<ClientAnswer>>({
       Left: (problem) => passOn(call, problem),
@@ -129,13 +129,9 @@
           id: call.jobId,
           queue: call.queue.name,
           organisation: call.organisation,
-          reason: 'the organisation is beyond its share and the queue is busy',
+          reason,
         });
-        return refusal(
-          429,
-          'the organisation is beyond its share, and there is no room for more',
-          call.retryAfterS,
-        );
+        return refusal(429, 'there is no room for more work of the organisation', call.retryAfterS);
       },
     });
   }
@@ -153,7 +149,9 @@
     log.info('job received', { event: 'job-received', id: call.jobId, queue: call.queue.name });
     const outcome = await cell.submit(job);
     if (outcome === Submission.Stored) return acceptedBy(call, 'the scheduler');
-    if (outcome === Submission.Overloaded) return refuseForLoad(call);
+    if (outcome === Submission.Overloaded) {
+      return refuseForLoad(call, 'the scheduler has turned it away');
+    }
     return storeJob(call, job, outcome === Submission.Unknown);
   }
 
@@ -179,7 +177,7 @@
       return passOn(call, failure(kind, 'neither the scheduler nor the store answers'));
     }
     if (!mayBeStored && options.isOverloaded(call.queue.name, call.organisation)) {
-      return refuseForLoad(call);
+      return refuseForLoad(call, 'the organisation is beyond its share and the queue is busy');
     }
     const stored = await jobWriter.write({ ...jobRow(call.jobId), value: JSON.stringify(job) });
     return stored.caseOf<ClientAnswer | Promise<ClientAnswer>>({
--- a/src/scheduler/pressure.ts
+++ b/src/scheduler/pressure.ts
@@ -162,15 +162,28 @@
   return before.reduce((sum, { waitMs }) => sum + waitMs, 0);
 }
 
+/** Why a further job is refused. */
+export const RefusalReason = {
+  /** It would wait for its organisation's upper limit until it is late. */
+  Limit: 'limit',
+  /** Its queue is busy, and its organisation uses more than its share. */
+  Share: 'share',
+} as const;
+
+/** One of the values of {@link RefusalReason}. */
+export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
+
 /**
- * Whether a further job is refused.
+ * Why a further job is refused; undefined when it is not.
  *
  * @example
- * isRefused(pressure, job); // true while its organisation is at its limit with much work waiting
+ * refusalReason(pressure, job); // 'limit' while its organisation is at its limit with much work waiting
  */
-export function isRefused(pressure: Pressure, job: AcceptedJob): boolean {
+export function refusalReason(pressure: Pressure, job: AcceptedJob): RefusalReason | undefined {
   const { queue, organisation, terms, spec } = job;
-  if (spec.repetition || spec.steps.some(({ longRunning }) => longRunning)) return false;
-  if (limitWaitMs(pressure, organisation, terms.priority) > slackMs(terms, spec.steps)) return true;
-  return pressure.busyQueues.includes(queue) && pressure.beyondShare.includes(organisation);
+  if (spec.repetition || spec.steps.some(({ longRunning }) => longRunning)) return undefined;
+  const waitMs = limitWaitMs(pressure, organisation, terms.priority);
+  if (waitMs > slackMs(terms, spec.steps)) return RefusalReason.Limit;
+  const isBusy = pressure.busyQueues.includes(queue);
+  return isBusy && pressure.beyondShare.includes(organisation) ? RefusalReason.Share : undefined;
 }
--- a/src/scheduler/shares_test.ts
+++ b/src/scheduler/shares_test.ts
@@ -13,7 +13,7 @@
 } from '../testing/fake_cell.ts';
 import { decide } from './decide.ts';
 import { endRun } from './jobs.ts';
-import { isRefused, noPressure, pressureOf } from './pressure.ts';
+import { noPressure, pressureOf, RefusalReason, refusalReason } from './pressure.ts';
 import { fairShares } from './shares.ts';
 
 const test = suite('shares');
@@ -96,15 +96,15 @@
   submit(state, acceptedJob('hot', [stepSpec({ count: 2 })], { organisation: 'hot' }));
   decide(state, { ...inputs(1), configuration: limited });
   const hot = acceptedJob('hot1', [stepSpec()], { organisation: 'hot' });
-  assert.not.ok(isRefused(pressureOf(state, limited, 2), hot), 'nothing waits yet');
+  assert.is(refusalReason(pressureOf(state, limited, 2), hot), undefined, 'nothing waits yet');
   for (let index = 0; index < 8; index++) {
     submit(state, acceptedJob(`more${index}`, [stepSpec()], { organisation: 'hot' }), 2);
   }
   // Eight seconds of work wait for two cores; the objective leaves two seconds of slack.
   const pressure = pressureOf(state, limited, 2_000);
-  assert.ok(isRefused(pressure, hot));
+  assert.is(refusalReason(pressure, hot), RefusalReason.Limit);
   const calm = acceptedJob('calm', [stepSpec()], { organisation: 'calm' });
-  assert.not.ok(isRefused(pressure, calm));
+  assert.is(refusalReason(pressure, calm), undefined);
   assert.equal(pressure.busyQueues, [], 'what waits for a limit says nothing about room');
 });
 
@@ -120,16 +120,16 @@
   });
   const state = cellWith(2, 4_000);
   const passAt = (nowMs: number) => decide(state, { ...inputs(nowMs), configuration: limited });
-  const refusedAt = (nowMs: number, ...args: Parameters<typeof acceptedJob>) =>
-    isRefused(pressureOf(state, limited, nowMs), acceptedJob(...args));
+  const refusalAt = (nowMs: number, ...args: Parameters<typeof acceptedJob>) =>
+    refusalReason(pressureOf(state, limited, nowMs), acceptedJob(...args));
   submit(state, acceptedJob('running', [stepSpec({ count: 2 })]));
   const [running] = passAt(1).starts;
   for (let index = 0; index < 8; index++) {
     submit(state, acceptedJob(`batch${index}`, [stepSpec()]), 2);
   }
   // Eight seconds of batch work wait for two cores.
-  assert.ok(refusedAt(3, 'batch', [stepSpec()]));
-  assert.not.ok(refusedAt(3, 'lookup', [stepSpec()], { inQueue: lookups }));
+  assert.is(refusalAt(3, 'batch', [stepSpec()]), RefusalReason.Limit);
+  assert.is(refusalAt(3, 'lookup', [stepSpec()], { inQueue: lookups }), undefined);
   submit(state, acceptedJob('lookup', [stepSpec()], { inQueue: lookups }), 4);
   endRun(state, running!, { end: RunEnd.Done, checkpoint: '' }, { maxAttempts: 2, nowMs: 5 });
   assert.equal(
@@ -140,7 +140,7 @@
   for (let index = 0; index < 8; index++) {
     submit(state, acceptedJob(`more${index}`, [stepSpec()], { inQueue: lookups }), 7);
   }
-  assert.ok(refusedAt(8, 'last', [stepSpec()], { inQueue: lookups }), 'other lookups do count');
+  assert.is(refusalAt(8, 'last', [stepSpec()], { inQueue: lookups }), RefusalReason.Limit);
 });
 
 test.run();
