Do not send starts without the ticket that has expired for another run of their step

Each costs a call and, on a busy worker, the time of a lookup. Cause: when the first run of a step finds its ticket expired, the ticket is deleted; its siblings on that worker found none and took that for 'needs none'. Change: a run whose step was asked about at the service needs a ticket. Test: _orders_test, failed before (sent twice).

--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -77,9 +77,10 @@
     });
   }
 
-  function hasExpiredTicket({ step, workerId }: Run): boolean {
-    const ticket = step.advice.tickets.get(workerId);
-    return ticket !== undefined && ticket.validUntilMs <= clock.now();
+  /** Whether a run needs a ticket, and that has expired or was taken away with another run's. */
+  function lacksTicket({ step: { advice }, workerId }: Run): boolean {
+    const ticket = advice.tickets.get(workerId);
+    return ticket ? ticket.validUntilMs <= clock.now() : advice.asked.has(workerId);
   }
 
   async function sendStart(run: Run, worker: Worker): Promise<Rejection | undefined> {
@@ -141,7 +142,7 @@
         return;
       }
       const mayHaveRun = wasSent || run.unsettled;
-      if (!mayHaveRun && hasExpiredTicket(run)) {
+      if (!mayHaveRun && lacksTicket(run)) {
         // Storing the start took longer than the ticket is valid.
         logOrder('start-not-sent', run, { reason: Rejection.Ticket });
         onRejected(run, Rejection.Ticket);
--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -76,6 +76,29 @@
   assert.is(sent, 2, 'the same start is sent again, which is idempotent');
 });
 
+test('runs of a step are not sent without the ticket that expired for the first of them', async () => {
+  const rejected: Rejection[] = [];
+  let sent = 0;
+  const { run, orders } = setUp(
+    {
+      async start() {
+        sent += 1;
+        return undefined;
+      },
+    },
+    (rejection) => {
+      rejected.push(rejection);
+      run.step.advice.tickets.delete(run.workerId);
+    },
+  );
+  run.step.advice.asked.set(run.workerId, 1);
+  run.step.advice.tickets.set(run.workerId, { value: 't', bornMs: 1, validUntilMs: 0 });
+  await orders.start(run);
+  await orders.start(run);
+  assert.equal(rejected, [Rejection.Ticket, Rejection.Ticket]);
+  assert.is(sent, 0);
+});
+
 test('a run that was listed and has ended is not taken to be lost when its start is sent again', async () => {
   const rejected: Rejection[] = [];
   const stopped: number[] = [];
