--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -12,13 +12,14 @@
   countPending,
   encodeProgress,
   fleetLoad,
-  isRefused,
   lostRun,
   makeCellState,
+  refusalReason,
   runsOf,
   taskName,
 } from '../scheduler/mod.ts';
 import { makeEnds } from './_ends.ts';
+import { heartbeatMs } from './_heartbeat_age.ts';
 import { makeFleet } from './_fleet.ts';
 import type { Fleet } from './_fleet.ts';
 import {
@@ -63,7 +64,6 @@
   passes: Passes;
 }
 
-const heartbeatMs = 650;
 const tickMs = 100;
 const reportMs = 1_000;
 const readRetryMs = 100;
@@ -183,7 +183,7 @@
   const pressure = makePressureView(term);
   const service = makeCellService(term, ends, {
     isLoaded: () => isLoaded,
-    isOverloaded: (job) => isRefused(pressure.current(), job),
+    refusalOf: (job) => refusalReason(pressure.current(), job),
   });
   const readRegistry = () => store.read({ table: options.registryTable, part: '' });
 
