Confirm a silence with one short ping only

A scheduler that answers in 250 to 350 ms would be found silent for ever once one ping had failed, since all further ones were short; jobs would then bypass it. Test: scheduler_watch_test.

--- a/src/host/scheduler_watch.ts
+++ b/src/host/scheduler_watch.ts
@@ -28,7 +28,7 @@
 /** Pings begin this long after each other; one that takes longer is followed by the next at once. */
 const pingEveryMs = 250;
 const pingTimeoutMs = 350;
-/** A ping that follows one without an answer only confirms the silence. */
+/** The ping that follows the first one without an answer only confirms the silence. */
 const confirmTimeoutMs = 250;
 /** A scheduler without an answer, or without the store, for so long is reported as silent. */
 const troubleMs = 650;
@@ -48,6 +48,7 @@
   const { clock, peers, leadership, isStoreServing, self } = options;
   let soundAt = { instance: '', atMs: 0 };
   let silentInstance: string | undefined;
+  let missesInRow = 0;
 
   function otherScheduler(): Claim | undefined {
     const claim = leadership.claim();
@@ -57,8 +58,9 @@
 
   /** Asks the scheduler, a second time where only the store of this process may have come back. */
   async function ask({ address, instance }: Claim): Promise<Pong> {
-    const isConfirming = silentInstance === instance;
+    const isConfirming = silentInstance === instance && missesInRow === 1;
     const pong = await peers.ping(address, isConfirming ? confirmTimeoutMs : pingTimeoutMs);
+    missesInRow = pong.instance === undefined ? missesInRow + 1 : 0;
     if (pong.storeRejectedMs < rejectedMs || !(await isStoreServing())) return pong;
     await clock.sleep(confirmMs);
     const confirmed = await peers.ping(address, pingTimeoutMs);
--- a/src/host/scheduler_watch_test.ts
+++ b/src/host/scheduler_watch_test.ts
@@ -15,7 +15,15 @@
  */
 async function play(
   pongs: Pong[],
-  { isStoreServing = true, hasTimeouts = false } = {},
+  {
+    isStoreServing = true,
+    hasTimeouts = false,
+    onPing = () => undefined,
+  }: {
+    isStoreServing?: boolean;
+    hasTimeouts?: boolean;
+    onPing?: (timeoutMs: number) => unknown;
+  } = {},
 ): Promise<[report: string, atMs: number][]> {
   let nowMs = 0;
   const reports: [string, number][] = [];
@@ -43,6 +51,7 @@
   } as Partial<Leadership> as Leadership;
   const peers = {
     async ping(_address, timeoutMs) {
+      onPing(timeoutMs);
       const pong = pongs.shift();
       if (hasTimeouts && pong?.instance === undefined) nowMs += timeoutMs;
       if (pongs.length === 0) over.abort();
@@ -89,6 +98,16 @@
   assert.equal(await play([sound, silent, silent], { hasTimeouts: true }), [['silent', 1_100]]);
 });
 
+test('a scheduler that answers slowly is not found silent for ever by shorter pings', async () => {
+  const timeouts: number[] = [];
+  const silent = { isRefused: false, storeFailingMs: 0, storeRejectedMs: 0 };
+  await play([sound, silent, silent, silent, sound, silent, silent, sound], {
+    hasTimeouts: true,
+    onPing: (timeoutMs) => timeouts.push(timeoutMs),
+  });
+  assert.equal(timeouts, [350, 350, 250, 350, 350, 350, 250, 350]);
+});
+
 test('a scheduler whose host rejects connections, or runs another instance, is reported at once', async () => {
   const refused = { isRefused: true, storeFailingMs: 0, storeRejectedMs: 0 };
   assert.equal(await play([refused]), [['rejected', 250]]);
