Do not send a start again once its worker has listed the run

What workers would see: a start whose answer was lost is sent again although a list has shown its run meanwhile. The worker may reject that for a reason of its own (429 of an unhealthy one, a ticket that has expired), and the sound run was stopped. Change: a list that shows the run settles the start; it counts as started and is not sent again. A rejection that crosses the list still stops the attempt. Tests (_orders_test): the new one failed before (stopped). 'Not taken back when its ticket expires' had both: a run listed meanwhile, and a second sending. The second sending needs a run that is not listed now, so the test is split in two, each as strict. 'Listed and has ended' keeps its scenario and its assertion that nothing is rejected; that no stop is needed now is asserted instead of the stop, and the stop stays asserted where the list crosses the second sending.

--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -133,10 +133,15 @@
   }
 
   async function start(run: Run): Promise<void> {
-    // A report may settle a run that was sent; it is still not one that was never sent.
+    // A list may settle a run that was sent; it is still not one that was never sent.
     let wasSent = false;
     for (let worker = isHeld(state, run); worker && !isOver(); worker = isHeld(state, run)) {
       if (run.phase === RunPhase.Stopping) return;
+      if (wasSent && !run.unsettled) {
+        // A list has shown it.
+        options.onStarted(run);
+        return;
+      }
       if (isFinal(run.step.job.state) && !run.unsettled) {
         onRejected(run, Rejection.Late);
         return;
--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -58,22 +58,46 @@
     {
       async start() {
         sent += 1;
-        if (sent > 1) return undefined;
-        // The answer is lost; then the worker lists the run, and the ticket expires.
+        return sent > 1 ? undefined : Rejection.Unknown;
+      },
+    },
+    (rejection) => rejected.push(rejection),
+  );
+  const ticket = { value: 't', bornMs: 1, validUntilMs: systemClock.now() + 30 };
+  run.step.advice.tickets.set(run.workerId, ticket);
+  await orders.start(run);
+  assert.equal(rejected, []);
+  assert.is(sent, 2, 'the same start is sent again, which is idempotent');
+});
+
+test('a run that its worker has listed is not stopped because its start, sent again, is rejected', async () => {
+  const outcomes: unknown[] = [];
+  let sent = 0;
+  const { run, orders } = setUp(
+    {
+      async start() {
+        sent += 1;
+        if (sent > 1) return Rejection.Unhealthy;
+        // The answer is lost; then the worker lists the run, and its ticket expires.
         run.phase = RunPhase.Running;
         setTimeout(() => {
           run.unsettled = false;
         }, 20);
         return Rejection.Unknown;
       },
+      async stop() {
+        outcomes.push('stopped');
+        return undefined;
+      },
     },
-    (rejection) => rejected.push(rejection),
+    (rejection) => outcomes.push(rejection),
   );
   const ticket = { value: 't', bornMs: 1, validUntilMs: systemClock.now() + 30 };
   run.step.advice.tickets.set(run.workerId, ticket);
   await orders.start(run);
-  assert.equal(rejected, []);
-  assert.is(sent, 2, 'the same start is sent again, which is idempotent');
+  assert.equal(outcomes, []);
+  assert.is(sent, 1);
+  assert.is(run.phase, RunPhase.Running);
 });
 
 test('runs of a step are not sent without the ticket that expired for the first of them', async () => {
@@ -122,6 +146,32 @@
   );
   await orders.start(run);
   assert.equal(rejected, [], 'the next list of the worker tells how it ended');
+  assert.equal(stopped, [], 'it is known to have started');
+});
+
+test('a run that is listed and ends while its start is sent again is not taken to be lost', async () => {
+  const rejected: Rejection[] = [];
+  const stopped: number[] = [];
+  let sent = 0;
+  const { run, orders } = setUp(
+    {
+      async start() {
+        sent += 1;
+        if (sent === 1) return Rejection.Unknown;
+        // The answer was lost; the worker lists the run and ends it while the start is sent again.
+        run.phase = RunPhase.Running;
+        run.unsettled = false;
+        return Rejection.Superseded;
+      },
+      async stop(_worker, { attempt }) {
+        stopped.push(attempt);
+        return undefined;
+      },
+    },
+    (rejection) => rejected.push(rejection),
+  );
+  await orders.start(run);
+  assert.equal(rejected, [], 'the next list of the worker tells how it ended');
   assert.equal(stopped, [1]);
 });
 
