Do not relay the calls of all processes to the same host

The second relay of each call took 0.96 s, then the call was answered. Cause: every process relays to the scheduler and then to the first member by name. Change: each process turns to the member whose name follows its own, so that one host that is gone holds up its one neighbour. That a restarted process takes an old row for fresh stays open: rows carry no time that clocks which jump could not spoil. Test: members_test, failed before (not there).

--- a/src/cell/members.ts
+++ b/src/cell/members.ts
@@ -36,6 +36,21 @@
   );
 }
 
+/**
+ * The other members, those first whose names follow that of the process. So processes that all need
+ * another one do not all turn to the same.
+ *
+ * @example
+ * neighbours(members, 'b').map(({ name }) => name); // c, d, a of a to d
+ */
+export function neighbours(members: Member[], name: string): Member[] {
+  const byName = members
+    .filter((member) => member.name !== name)
+    .sort((a, b) => (a.name < b.name ? -1 : 1));
+  const isAfter = (member: Member) => member.name > name;
+  return [...byName.filter(isAfter), ...byName.filter((member) => !isAfter(member))];
+}
+
 /** Table of the members; the key is the member's name. */
 export const membersTable = 'members';
 
--- a/src/cell/members_test.ts
+++ b/src/cell/members_test.ts
@@ -1,7 +1,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
-import { candidates } from './members.ts';
+import { candidates, neighbours } from './members.ts';
 import type { Member } from './members.ts';
 
 const test = suite('members');
@@ -40,4 +40,11 @@
   assert.is(order(members, true), 'large small');
 });
 
+test('processes that have lost the store do not all relay their calls to the same host', () => {
+  const members = ['c', 'a', 'd', 'b'].map((name) => member(name));
+  const asked = members.map(({ name }) => neighbours(members, name)[0]!.name);
+  assert.equal([...asked].sort(), ['a', 'b', 'c', 'd'], 'each host is asked first by one');
+  assert.is(neighbours(members, 'b').length, 3);
+});
+
 test.run();
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -1,7 +1,7 @@
 /**
  * Wires up one entry process on the users' platform.
  */
-import { candidates, makeLeadership, makeTerm } from '../cell/mod.ts';
+import { candidates, makeLeadership, makeTerm, neighbours } from '../cell/mod.ts';
 import type { Heartbeat, Leadership, Member, SchedulerTerm, WonClaim } from '../cell/mod.ts';
 import type { Clock, Random } from '../clock/mod.ts';
 import { Kind, refuse } from '../errors/mod.ts';
@@ -98,12 +98,9 @@
 
   function others(): Member[] {
     const claim = election.leadership?.claim();
-    return membership
-      .members()
-      .filter(({ name }) => name !== self.name)
-      .sort(
-        (a, b) => Number(b.instance === claim?.instance) - Number(a.instance === claim?.instance),
-      );
+    return neighbours(membership.members(), self.name).sort(
+      (a, b) => Number(b.instance === claim?.instance) - Number(a.instance === claim?.instance),
+    );
   }
 
   const group = makePeerGroup(peers, others);
