--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -77,9 +77,10 @@
     });
   }
 
-  function hasExpiredTicket({ step, workerId }: Run): boolean {
-    const ticket = step.advice.tickets.get(workerId);
-    return ticket !== undefined && ticket.validUntilMs <= clock.now();
+  /** Whether a run needs a ticket, and that has expired or was taken away with another run's. */
+  function lacksTicket({ step: { advice }, workerId }: Run): boolean {
+    const ticket = advice.tickets.get(workerId);
+    return ticket ? ticket.validUntilMs <= clock.now() : advice.asked.has(workerId);
   }
 
   async function sendStart(run: Run, worker: Worker): Promise<Rejection | undefined> {
@@ -132,16 +133,21 @@
   }
 
   async function start(run: Run): Promise<void> {
-    // A report may settle a run that was sent; it is still not one that was never sent.
+    // A list may settle a run that was sent; it is still not one that was never sent.
     let wasSent = false;
     for (let worker = isHeld(state, run); worker && !isOver(); worker = isHeld(state, run)) {
       if (run.phase === RunPhase.Stopping) return;
+      if (wasSent && !run.unsettled) {
+        // A list has shown it.
+        options.onStarted(run);
+        return;
+      }
       if (isFinal(run.step.job.state) && !run.unsettled) {
         onRejected(run, Rejection.Late);
         return;
       }
       const mayHaveRun = wasSent || run.unsettled;
-      if (!mayHaveRun && hasExpiredTicket(run)) {
+      if (!mayHaveRun && lacksTicket(run)) {
         // Storing the start took longer than the ticket is valid.
         logOrder('start-not-sent', run, { reason: Rejection.Ticket });
         onRejected(run, Rejection.Ticket);
