--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -6,6 +6,7 @@
 import { Rejection } from '../model/mod.ts';
 import type { Workers } from '../model/mod.ts';
 import { decide, RunPhase } from '../scheduler/mod.ts';
+import type { Run } from '../scheduler/mod.ts';
 import { acceptedJob, cellWith, decisionInputs, stepSpec, submit } from '../testing/fake_cell.ts';
 import { makeOrders, orderTimes } from './_orders.ts';
 import type { WorkerLink } from './worker_link.ts';
@@ -123,20 +124,13 @@
   assert.is(sent, 0);
 });
 
-test('a run that was listed and has ended is not taken to be lost when its start is sent again', async () => {
+/** Sends a start that the worker answers so; tells what was rejected and which attempts were stopped. */
+async function rejectedAndStopped(answer: (run: Run) => Rejection) {
   const rejected: Rejection[] = [];
   const stopped: number[] = [];
   const { run, orders } = setUp(
     {
-      async start() {
-        if (run.phase === RunPhase.Running) return Rejection.Superseded;
-        // The answer is lost; the worker lists the run and, before it is asked again, ends it.
-        run.phase = RunPhase.Running;
-        setTimeout(() => {
-          run.unsettled = false;
-        }, 20);
-        return Rejection.Unknown;
-      },
+      start: async () => answer(run),
       async stop(_worker, { attempt }) {
         stopped.push(attempt);
         return undefined;
@@ -145,32 +139,33 @@
     (rejection) => rejected.push(rejection),
   );
   await orders.start(run);
+  return { rejected, stopped };
+}
+
+test('a run that was listed and has ended is not taken to be lost when its start is sent again', async () => {
+  const { rejected, stopped } = await rejectedAndStopped((run) => {
+    if (run.phase === RunPhase.Running) return Rejection.Superseded;
+    // The answer is lost; the worker lists the run and, before it is asked again, ends it.
+    run.phase = RunPhase.Running;
+    setTimeout(() => {
+      run.unsettled = false;
+    }, 20);
+    return Rejection.Unknown;
+  });
   assert.equal(rejected, [], 'the next list of the worker tells how it ended');
   assert.equal(stopped, [], 'it is known to have started');
 });
 
 test('a run that is listed and ends while its start is sent again is not taken to be lost', async () => {
-  const rejected: Rejection[] = [];
-  const stopped: number[] = [];
   let sent = 0;
-  const { run, orders } = setUp(
-    {
-      async start() {
-        sent += 1;
-        if (sent === 1) return Rejection.Unknown;
-        // The answer was lost; the worker lists the run and ends it while the start is sent again.
-        run.phase = RunPhase.Running;
-        run.unsettled = false;
-        return Rejection.Superseded;
-      },
-      async stop(_worker, { attempt }) {
-        stopped.push(attempt);
-        return undefined;
-      },
-    },
-    (rejection) => rejected.push(rejection),
-  );
-  await orders.start(run);
+  const { rejected, stopped } = await rejectedAndStopped((run) => {
+    sent += 1;
+    if (sent === 1) return Rejection.Unknown;
+    // The answer was lost; the worker lists the run and ends it while the start is sent again.
+    run.phase = RunPhase.Running;
+    run.unsettled = false;
+    return Rejection.Superseded;
+  });
   assert.equal(rejected, [], 'the next list of the worker tells how it ended');
   assert.equal(stopped, [1]);
 });
