Replace a scheduler for silence only, and give the role to the largest host

A ping that took more than 350 ms was aborted with its connection, so that a slow process was never heard, had to accept new connections for it, and was reported as unresponsive; its successor was judged by the same bound while it loaded.

Ruled out: the link (100 KB a second of 250 at the scheduler's host) and the store (12 ms where the process has time).

Pings overlap and late responses count; only a gap of 750 ms without any response is reported. A loading term gets twice the time, and each short term doubles the patience of the next, up to four times. The heartbeat precedes all other rows of a transaction. A scheduler hands over to a responding host with 1.5 times its processors. Only the five best candidates ping and poll closely; the others do so while a request waits or a heartbeat is late. An expired timeout first handles the responses that have arrived. Idle workers are polled every 2 s. A run counts as stalled by the reports of its worker, so that a silent or late worker is not given up. A malformed leadership row is skipped and logged.

The test that expected a responding scheduler to be replaced after 2.5 s without a heartbeat now expects 6 s: a process that responds is slow, not dead. The tests of the ping timeouts are replaced by tests of the times at which the scheduler is reported, with the same bounds.

--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -98,6 +98,7 @@
       leaseMs: Math.min(requestedLeaseMs, term.maxLeaseMs),
       maxLeaseMs: term.maxLeaseMs,
       predecessorLeasesEndAtMs: term.predecessorLeasesEndAtMs,
+      isBusy: () => worker.runs.size > 0,
       mayRenew: () => clock.now() - writer.lastCommitAtMs() < maxRenewalWithoutStoreMs,
       onReport: (report, sentAtMs) => handleReport(worker, report, sentAtMs),
       onRenewalFailed(rejection) {
@@ -189,7 +190,7 @@
     checkWorkers() {
       const nowMs = clock.now();
       state.workers.forEach((worker) => handleExpiredLeases(worker, nowMs));
-      findStalledRuns(state, nowMs, stallTimeoutMs).forEach((run) => {
+      findStalledRuns(state, stallTimeoutMs).forEach((run) => {
         const worker = state.workers.get(run.workerId);
         if (worker) updateWorkerBackoff(worker, RunEnd.Failed, nowMs);
         endHandler.stopRuns([run], 'no progress');
--- a/src/cell/batch_writer.ts
+++ b/src/cell/batch_writer.ts
@@ -21,6 +21,8 @@
    * sent after a short delay, so that further changes join it, or at once for an urgent flush.
    */
   markDirty(row: RowKey, source: RowSource, onStored?: () => void): void;
+  /** Like `markDirty` for a row that the next transaction contains, however many rows wait. */
+  markDirtyFirst(row: RowKey, source: RowSource): void;
   /**
    * Resolves with true once all rows marked so far are stored, or with false once the writer is
    * closed or the scheduler is deposed. A flush that is not urgent does not shorten the delay of the
@@ -101,6 +103,8 @@
 export function makeBatchWriter(options: BatchWriterOptions): BatchWriter {
   const { store, clock, log, sequenceRow, author, onDeposed } = options;
   const dirtyRows = new Map<string, DirtyRow>();
+  /** Rows that precede those above. */
+  const firstRows = new Map<string, DirtyRow>();
   let sequence = { ...options.claimedSequence };
   let transactionCount = 0;
   let generation = 0;
@@ -143,8 +147,9 @@
     const onStored: (() => void)[] = [];
     let rows = 0;
     let bytes = 0;
-    for (const [name, entry] of dirtyRows) {
+    for (const [name, entry] of [...firstRows, ...dirtyRows]) {
       if (rows >= maxRowsPerTransaction || bytes > maxBytesPerTransaction) break;
+      firstRows.delete(name);
       dirtyRows.delete(name);
       rows += 1;
       const text = entry.source();
@@ -218,7 +223,7 @@
   }
 
   async function writeBatches(): Promise<void> {
-    if (isRunning || isClosed || dirtyRows.size === 0) return;
+    if (isRunning || isClosed || !hasDirtyRows()) return;
     isRunning = true;
     // Rows marked in the same turn of the event loop belong to one transaction.
     await undefined;
@@ -227,7 +232,11 @@
       if (!isClosed) resolveWaiters();
     } while (isWriteUrgent() && !isClosed);
     isRunning = false;
-    if (dirtyRows.size > 0) writeLater();
+    if (hasDirtyRows()) writeLater();
+  }
+
+  function hasDirtyRows(): boolean {
+    return firstRows.size + dirtyRows.size > 0;
   }
 
   function isWriteUrgent(): boolean {
@@ -259,6 +268,11 @@
       });
       if (!isRunning) writeLater();
     },
+    markDirtyFirst(row, source) {
+      if (isClosed) return;
+      firstRows.set(getRowName(row), { row, source, generation });
+      if (!isRunning) writeLater();
+    },
     flush({ isUrgent: isUrgentFlush = true } = {}) {
       if (isClosed) return Promise.resolve(false);
       if (dirtyRows.size === 0 && !isRunning) return Promise.resolve(true);
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -11,21 +11,14 @@
 import { ErrorKind } from '../errors/mod.ts';
 import type { Logger } from '../logs/mod.ts';
 import type { Store, StoreTransaction, StoredRow } from '../model/mod.ts';
-import { hasHeartbeatStopped } from './_heartbeat_age.ts';
+import { hasHeartbeatStopped, isCalmTerm } from './_heartbeat_age.ts';
+import { decodeClaim, decodeHeartbeat } from './_leadership_rows.ts';
+import type { Claim, HeartbeatContent } from './_leadership_rows.ts';
 import { maxRenewalWithoutStoreMs } from './_term_state.ts';
 import { makeTableWatcher } from './table_watcher.ts';
 import { claimRow, heartbeatRow, leadershipTable, sequenceRow } from './rows.ts';
 
-/** A claim as stored. */
-export interface Claim {
-  epoch: number;
-  /** Unique per start of a process; empty once the scheduler has resigned. */
-  instance: string;
-  name: string;
-  address: string;
-  /** Whether a predecessor may still renew leases at workers that it can reach. */
-  predecessorMayAct: boolean;
-}
+export type { Claim };
 
 /** A claim won by this process. */
 export interface WonClaim extends Pick<Claim, 'epoch' | 'predecessorMayAct'> {
@@ -33,13 +26,7 @@
 }
 
 /** The heartbeat of the scheduler, as other processes see it. */
-export interface Heartbeat {
-  epoch: number;
-  /** Number of pending jobs by queue; undefined until the scheduler has loaded its jobs. */
-  pending: Record<string, number> | undefined;
-  /** Queues and organisations whose jobs are refused; see `computePressure`. */
-  busyQueues: string[];
-  beyondShare: string[];
+export interface Heartbeat extends HeartbeatContent {
   /** Monotonic time of this process when it saw the heartbeat. */
   seenAtMs: number;
 }
@@ -68,16 +55,21 @@
   self: { name: string; instance: string; address: string };
   /** Delay before a claim, in milliseconds, so that preferred hosts claim first. */
   claimDelayMs(): number;
+  /** Whether this process is among those that would claim first. */
+  isCandidate(): boolean;
   mayClaim(): boolean;
   onClaimWon(won: WonClaim): void;
   /** Called when a claim of another process is seen. */
   onOtherClaim(claim: Claim): void;
 }
 
-const checkIntervalMs = 40;
+const candidateCheckIntervalMs = 40;
+const otherCheckIntervalMs = 250;
 const maxViewAgeMs = 900;
 const maxClaimJitterMs = 20;
 const claimRetryDelayMs = 200;
+/** Number of heartbeat intervals from which the lateness of a scheduler is judged. */
+const intervalsKept = 4;
 /** Allows for a slow store that processes the claims of several candidates one by one. */
 const claimTimeoutMs = 3_000;
 /** Reasons for a claim while the predecessor may still be active. */
@@ -92,13 +84,15 @@
  * await leadership.run(signal);
  */
 export function makeLeadership(options: LeadershipOptions): Leadership {
-  const { store, clock, random, log, self, claimDelayMs, mayClaim, onClaimWon, onOtherClaim } =
-    options;
+  const { store, clock, random, log, self, claimDelayMs, isCandidate, mayClaim } = options;
+  const { onClaimWon, onOtherClaim } = options;
   let claim: Claim | undefined;
   let claimVersion = 0;
   let heartbeat: Heartbeat | undefined;
-  /** Time between the last two heartbeats of one scheduler; 0 before the second. */
-  let lastIntervalMs = 0;
+  /** Times between the last heartbeats of the current scheduler, newest last. */
+  let intervalsMs: number[] = [];
+  /** Monotonic time of the first heartbeat after the current scheduler had loaded the cell. */
+  let loadedAtMs: number | undefined;
   /** Monotonic time of the last claim or heartbeat seen. */
   let lastSeenAtMs = clock.now();
   let refusingInstance: string | undefined;
@@ -109,38 +103,61 @@
   let predecessorRenewalsEndAtMs = -Infinity;
 
   function recordClaim(next: Claim, version: number): void {
-    lastIntervalMs = 0;
+    intervalsMs = [];
+    loadedAtMs = undefined;
     claim = next;
     claimVersion = version;
     lastSeenAtMs = clock.now();
     if (next.predecessorMayAct) predecessorRenewalsEndAtMs = clock.now() + maxRenewalWithoutStoreMs;
   }
 
+  function skipMalformedRow(row: StoredRow): void {
+    log.error('a leadership row is malformed', {
+      event: 'row-malformed',
+      table: row.table,
+      key: row.key,
+      version: row.version,
+    });
+  }
+
   function handleClaimRow(row: StoredRow): void {
     if (row.version <= claimVersion) return;
-    const seen = JSON.parse(row.value) as Claim;
+    const seen = decodeClaim(row.value);
+    if (!seen) {
+      skipMalformedRow(row);
+      // A process can replace the row only if it knows its version.
+      claimVersion = row.version;
+      if (claim) claim = { ...claim, instance: '' };
+      return;
+    }
     recordClaim(seen, row.version);
     log.info('scheduler claim seen', { event: 'claim-seen', ...seen, version: row.version });
     if (seen.instance !== self.instance) onOtherClaim(seen);
   }
 
-  function handleRow(row: StoredRow): void {
-    if (row.deleted) return;
-    if (row.key === claimRow.key) handleClaimRow(row);
-    if (row.key !== heartbeatRow.key) return;
-    const {
-      epoch,
-      pending,
-      busyQueues = [],
-      beyondShare = [],
-    } = JSON.parse(row.value) as Partial<Heartbeat> & Pick<Heartbeat, 'epoch'>;
-    lastIntervalMs = heartbeat?.epoch === epoch ? clock.now() - heartbeat.seenAtMs : 0;
-    heartbeat = { epoch, pending, busyQueues, beyondShare, seenAtMs: clock.now() };
+  function handleHeartbeatRow(row: StoredRow): void {
+    const content = decodeHeartbeat(row.value);
+    if (!content) {
+      skipMalformedRow(row);
+      return;
+    }
+    const { epoch, pending } = content;
+    if (heartbeat?.epoch === epoch) {
+      intervalsMs = [...intervalsMs, clock.now() - heartbeat.seenAtMs].slice(-intervalsKept);
+    }
+    if (epoch === claim?.epoch && pending !== undefined) loadedAtMs ??= clock.now();
+    heartbeat = { ...content, seenAtMs: clock.now() };
     unresponsiveInstance = undefined;
     rejectedByStoreInstance = undefined;
     lastSeenAtMs = clock.now();
   }
 
+  function handleRow(row: StoredRow): void {
+    if (row.deleted) return;
+    if (row.key === claimRow.key) handleClaimRow(row);
+    if (row.key === heartbeatRow.key) handleHeartbeatRow(row);
+  }
+
   const watcher = makeTableWatcher({
     store,
     clock,
@@ -161,10 +178,23 @@
     if (claim.name === self.name) return 'the claim was made under the name of this process';
     if (claim.instance === refusingInstance) return 'the host of the scheduler refuses connections';
     if (claim.instance === rejectedByStoreInstance) return rejectedByStoreReason;
-    const isUnresponsive = claim.instance === unresponsiveInstance;
-    return hasHeartbeatStopped({ ageMs: nowMs - lastSeenAtMs, lastIntervalMs, isUnresponsive })
-      ? heartbeatStoppedReason
-      : undefined;
+    const hasStopped = hasHeartbeatStopped({
+      ageMs: nowMs - lastSeenAtMs,
+      longestIntervalMs: Math.max(0, ...intervalsMs),
+      isUnresponsive: claim.instance === unresponsiveInstance,
+      hasLoaded: loadedAtMs !== undefined,
+      shortTerms: countShortTerms(),
+    });
+    return hasStopped ? heartbeatStoppedReason : undefined;
+  }
+
+  function hasCalmTerm(): boolean {
+    return loadedAtMs !== undefined && isCalmTerm(clock.now() - loadedAtMs);
+  }
+
+  /** Number of consecutive short terms before the current one; 0 once the current one is calm. */
+  function countShortTerms(): number {
+    return hasCalmTerm() ? 0 : (claim?.shortTerms ?? 0);
   }
 
   function mayPredecessorsRenewLeases(): boolean {
@@ -177,11 +207,15 @@
     const predecessor = claim;
     const epoch = (predecessor?.epoch ?? 0) + 1;
     const sequenceValue = `${epoch}.${self.instance}.0`;
-    const predecessorMayAct =
-      reason === heartbeatStoppedReason ||
-      reason === rejectedByStoreReason ||
-      mayPredecessorsRenewLeases();
-    const newClaim: Claim = { epoch, ...self, predecessorMayAct };
+    const isTakeover = reason === heartbeatStoppedReason || reason === rejectedByStoreReason;
+    const predecessorMayAct = isTakeover || mayPredecessorsRenewLeases();
+    const isShort = isTakeover && !hasCalmTerm();
+    const newClaim: Claim = {
+      epoch,
+      ...self,
+      predecessorMayAct,
+      shortTerms: countShortTerms() + Number(isShort),
+    };
     const transaction: StoreTransaction = {
       expected: [{ ...claimRow, version: claimVersion }],
       writes: [
@@ -212,7 +246,7 @@
 
   async function claimWhenMissing(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await clock.sleep(checkIntervalMs, signal);
+      await clock.sleep(isCandidate() ? candidateCheckIntervalMs : otherCheckIntervalMs, signal);
       const cause = findClaimReason();
       if (cause === undefined || !mayClaim()) continue;
       const delayMs = claimDelayMs() + random() * maxClaimJitterMs;
--- a/src/cell/leadership_test.ts
+++ b/src/cell/leadership_test.ts
@@ -44,6 +44,7 @@
     log: silentLogger,
     self: { name, instance: `${name}-1`, address: `${name}:1` },
     claimDelayMs: () => 0,
+    isCandidate: () => true,
     mayClaim,
     onClaimWon: (claim) => won.push(claim),
     onOtherClaim: () => undefined,
@@ -72,13 +73,64 @@
     const wins = () => all.flatMap(({ won }) => won);
     await waitUntil(() => wins().length > 0);
     assert.is(wins().length, 1);
-    // No heartbeat is written, so each scheduler is soon considered to have stopped.
+    // No heartbeat is written, so each scheduler that is reported is considered to have stopped.
+    const reporting = setInterval(() => {
+      all.forEach(({ leadership }) =>
+        leadership.reportUnresponsive(leadership.claim()?.instance ?? ''),
+      );
+    }, 5);
     await waitUntil(() => wins().length >= 3);
+    clearInterval(reporting);
     const epochs = wins().map(({ epoch }) => epoch);
     assert.is(new Set(epochs).size, epochs.length);
     assert.ok(wins().some(({ predecessorMayAct }) => predecessorMayAct));
   }));
 
+test('one scheduler after the other is not replaced before it can load the cell', () =>
+  withAbort(async (signal) => {
+    const store = makeFakeStore();
+    const wonAtMs: number[] = [];
+    const all = ['a', 'b', 'c'].map((name) => startCandidate(store, name, signal));
+    const reporting = setInterval(() => {
+      all.forEach(({ leadership, won }) => {
+        // Every process finds the scheduler unresponsive all the time, as under overload.
+        leadership.reportUnresponsive(leadership.claim()?.instance ?? '');
+        won.splice(0).forEach(() => wonAtMs.push(fastClock.now()));
+      });
+    }, 2);
+    await waitUntil(() => wonAtMs.length >= 4);
+    clearInterval(reporting);
+    const termsMs = wonAtMs.slice(1).map((atMs, index) => atMs - wonAtMs[index]!);
+    assert.ok(termsMs[0]! >= 1_800, 'a term is given the time to load');
+    assert.ok(termsMs[1]! >= 3_600, 'after one short term the next is given more time');
+    assert.ok(termsMs[2]! >= 7_200, 'and after two even more');
+  }));
+
+test('a malformed row does not end the election', () =>
+  withAbort(async (signal) => {
+    const store = makeFakeStore();
+    const malformed = ['{', 'null', '[]', '{"epoch":"1"}', '{"epoch":1,"instance":5}', ''];
+    const only = startCandidate(store, 'a', signal);
+    await waitUntil(() => only.won.length > 0);
+    for (const [index, value] of malformed.entries()) {
+      await store.transact({
+        expected: [],
+        writes: [
+          { table: 'leadership', part: 'c0', key: 'heartbeat', value },
+          { table: 'leadership', part: 'c0', key: 'claim', value },
+        ],
+        deletes: [],
+      });
+      await waitUntil(() => only.won.length > index + 1);
+    }
+    const epochs = only.won.map(({ epoch }) => epoch);
+    assert.equal(
+      epochs,
+      [...epochs].sort((a, b) => a - b),
+    );
+    assert.is(new Set(epochs).size, epochs.length, 'epochs keep rising');
+  }));
+
 test('a claim that is released is won by another process at once', () =>
   withAbort(async (signal) => {
     const store = makeFakeStore();
@@ -123,6 +175,8 @@
     const unresponsive = startCandidate(store, 'a', signal, () => unresponsive.won.length === 0);
     await waitUntil(() => unresponsive.won.length > 0);
     const first = startCandidate(store, 'b', signal, () => first.won.length === 0);
+    await waitUntil(() => first.leadership.claim() !== undefined);
+    first.leadership.reportUnresponsive('a-1');
     await waitUntil(() => first.won.length > 0);
     assert.is(first.won[0]!.predecessorMayAct, true);
     const second = startCandidate(store, 'c', signal);
@@ -143,6 +197,8 @@
       return outcome;
     });
     const successor = startCandidate(store, 'b', signal);
+    await waitUntil(() => successor.leadership.claim() !== undefined);
+    successor.leadership.reportUnresponsive('a-1');
     await waitUntil(() => successor.won.length > 0);
     assert.is(successor.won[0]!.epoch, 3);
     assert.is(successor.won[0]!.predecessorMayAct, true);
--- a/src/cell/service.ts
+++ b/src/cell/service.ts
@@ -28,6 +28,8 @@
 
 /** The scheduler's interface for entry processes. */
 export interface SchedulerService {
+  /** Epoch of the term. */
+  epoch: number;
   submit(job: AcceptedJob): Promise<SubmitResult>;
   /** The stored state of a job; undefined when the scheduler does not know the job. */
   getStoredState(jobId: string): JobState | undefined;
@@ -110,6 +112,8 @@
   }
 
   return {
+    epoch: term.claim.epoch,
+
     async submit(job) {
       // An earlier call may have stored a known job, even though this one writes nothing.
       if (!mayWrite()) return state.jobs.has(job.id) ? SubmitResult.Unknown : SubmitResult.NotTaken;
--- a/src/cell/table_watcher.ts
+++ b/src/cell/table_watcher.ts
@@ -28,7 +28,7 @@
   /** Longest wait of one poll for changes. */
   waitMs?: number;
   /** Pause between polls, so that frequent changes arrive in batches. */
-  pauseMs?: number;
+  pauseMs?(): number;
 }
 
 const defaultWaitMs = 700;
@@ -50,7 +50,7 @@
     readAll,
     onRows,
     waitMs = defaultWaitMs,
-    pauseMs = 0,
+    pauseMs = () => 0,
   } = options;
   let version: number | undefined;
   let currentAtMs: number | undefined;
@@ -112,7 +112,7 @@
       while (!signal.aborted) {
         const hasSucceeded = await (version === undefined ? readSnapshot() : readChanges(version));
         if (!hasSucceeded) await clock.sleep(retryDelayMs, signal);
-        else if (pauseMs > 0) await clock.sleep(pauseMs, signal);
+        else if (pauseMs() > 0) await clock.sleep(pauseMs(), signal);
       }
     },
   };
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -19,7 +19,7 @@
   getTaskName,
 } from '../scheduler/mod.ts';
 import { makeRunEndHandler } from './_run_end_handler.ts';
-import { heartbeatIntervalMs } from './_heartbeat_age.ts';
+import { heartbeatIntervalMs, isCalmTerm } from './_heartbeat_age.ts';
 import { makeFleet } from './_fleet.ts';
 import type { Fleet } from './_fleet.ts';
 import {
@@ -51,6 +51,8 @@
 /** The term of a scheduler. */
 export interface SchedulerTerm {
   service: SchedulerService;
+  /** Whether it has scheduled for long enough that a hand-over does not follow a takeover at once. */
+  isCalm(): boolean;
   /** Runs until the term ends. */
   run(): Promise<void>;
   /** Ends the term; no further orders are sent. */
@@ -69,7 +71,7 @@
 const readRetryDelayMs = 100;
 const unhealthyBackoffMs = 1_500;
 const jobsWatchPauseMs = 6;
-const registryWatchPauseMs = 300;
+const registryWatchPauseMs = 700;
 
 /**
  * Makes the term of a scheduler that has won its claim.
@@ -183,10 +185,10 @@
     }
   }
 
-  let isLoaded = false;
+  let loadedAtMs: number | undefined;
   const pressureCache = makePressureCache(term);
   const service = makeSchedulerService(term, endHandler, {
-    isLoaded: () => isLoaded,
+    isLoaded: () => loadedAtMs !== undefined,
     findRefusalReason: (job) => getRefusalReason(pressureCache.current(), job),
   });
   const readRegistry = () => store.read({ table: options.registryTable, part: '' });
@@ -207,7 +209,7 @@
     fleet.openLinks();
     applyCancellations(term, endHandler, jobs.rows);
     stopRunsOfEndedJobs(term, endHandler);
-    isLoaded = true;
+    loadedAtMs = clock.now();
     log.info('the cell has been loaded', {
       event: 'scheduler-loaded',
       epoch: claim.epoch,
@@ -250,6 +252,7 @@
 
   function encodeHeartbeat(): string {
     // The number of pending jobs is unknown until the jobs are loaded.
+    const isLoaded = loadedAtMs !== undefined;
     const pending = isLoaded ? Object.fromEntries(countPendingJobs(state)) : undefined;
     const { busyQueues, beyondShare } = pressureCache.current();
     return JSON.stringify({ epoch: claim.epoch, pending, busyQueues, beyondShare });
@@ -257,13 +260,14 @@
 
   async function writeHeartbeats(): Promise<void> {
     while (!endController.signal.aborted) {
-      term.writer.markDirty(heartbeatRow, encodeHeartbeat);
+      term.writer.markDirtyFirst(heartbeatRow, encodeHeartbeat);
       await clock.sleep(heartbeatIntervalMs, endController.signal);
     }
   }
 
   return {
     service,
+    isCalm: () => loadedAtMs !== undefined && isCalmTerm(clock.now() - loadedAtMs),
     stop: () => end('resigned'),
     async run() {
       const heartbeatLoop = writeHeartbeats();
@@ -277,14 +281,14 @@
           table: jobsTable,
           readAll: () => readJobRows(store),
           onRows: (rows) => applyJobRows(term, endHandler, rows),
-          pauseMs: jobsWatchPauseMs,
+          pauseMs: () => jobsWatchPauseMs,
         }).run(endController.signal),
         makeTableWatcher({
           ...watcherOptions,
           table: options.registryTable,
           readAll: readRegistry,
           onRows: fleet.applyRegistryRows,
-          pauseMs: registryWatchPauseMs,
+          pauseMs: () => registryWatchPauseMs,
         }).run(endController.signal),
       ]);
     },
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -36,13 +36,17 @@
   predecessorLeasesEndAtMs: number;
   /** Whether this scheduler may renew leases. */
   mayRenew(): boolean;
+  /** Whether the worker has runs, whose progress is wanted more often. */
+  isBusy(): boolean;
   /** Handles a report; resolves with true once the ends in it are stored. */
   onReport(report: WorkerReport, sentAtMs: number): Promise<boolean>;
   onRenewalFailed(rejection: Rejection): void;
   onFenced(): void;
 }
 
-const renewalWaitMs = 1_000;
+const busyRenewalWaitMs = 1_000;
+/** A renewal without runs only shows that the worker responds. */
+const idleRenewalWaitMs = 2_000;
 /** Longest delay of a renewal until previously reported ends are stored. */
 const maxStoreWaitMs = 400;
 const retryDelayMs = 150;
@@ -98,6 +102,7 @@
   async function renewLease(): Promise<void> {
     const sentAtMs = clock.now();
     const leaseEndMs = leaseUntilMs();
+    const renewalWaitMs = options.isBusy() ? busyRenewalWaitMs : idleRenewalWaitMs;
     const result = await workers.renewLease(entry(), {
       fencingToken,
       // After a failed renewal the worker may be another incarnation, which numbers its ends anew.
--- a/src/cell/worker_link_test.ts
+++ b/src/cell/worker_link_test.ts
@@ -61,6 +61,7 @@
       state.reportedAtMs = nowMs;
       return state.neverStores ? neverSettled : Promise.resolve(state.stored);
     },
+    isBusy: () => true,
     onRenewalFailed: () => undefined,
     onFenced() {
       state.fenced = true;
--- a/src/exchange/mod.ts
+++ b/src/exchange/mod.ts
@@ -202,9 +202,10 @@
           return;
         }
         signal?.addEventListener('abort', cancel);
-        cancelTimer = clock.startTimer(timeoutMs, () =>
-          collector.stop(`no answer within ${timeoutMs} ms`),
-        );
+        cancelTimer = clock.startTimer(timeoutMs, () => {
+          // A process that was busy or paused first handles the responses that have arrived meanwhile.
+          setImmediate(() => collector.stop(`no answer within ${timeoutMs} ms`));
+        });
         const contentType = body === undefined ? {} : { 'content-type': 'application/json' };
         try {
           pool.dispatch({ path, method, body, headers: { ...contentType, ...headers } }, collector);
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -1,12 +1,12 @@
 /**
  * Connects the parts of an entry process on the users' platform.
  */
-import { makeLeadership, makeTerm, rankCandidates, ringSuccessors } from '../cell/mod.ts';
-import type { Heartbeat, Leadership, Member, SchedulerTerm, WonClaim } from '../cell/mod.ts';
+import { makeLeadership, makeTerm, ringSuccessors } from '../cell/mod.ts';
+import type { Leadership, Member } from '../cell/mod.ts';
 import type { Clock, Random } from '../clock/mod.ts';
 import { ErrorKind, failWith } from '../errors/mod.ts';
-import { handleClientRequest, listen, makeFrontEnd, makeRouteTable } from '../front/mod.ts';
-import type { HttpRequest, RouteTable } from '../front/mod.ts';
+import { handleClientRequest, listen, makeFrontEnd } from '../front/mod.ts';
+import type { HttpRequest } from '../front/mod.ts';
 import { logFailure } from '../logs/mod.ts';
 import type { Logger } from '../logs/mod.ts';
 import type { Adviser, Store, WorkerClient } from '../model/mod.ts';
@@ -27,12 +27,18 @@
 import type { ProcessSettings } from '../../platform/mod.ts';
 import type { HostMetrics } from './host_metrics.ts';
 import { makeHostAdvicePool } from './host_advice_pool.ts';
-import { makeSchedulerClient } from './scheduler_client.ts';
+import { makeCandidacy } from './candidacy.ts';
+import type { Candidacy } from './candidacy.ts';
+import { runHandOvers } from './hand_over.ts';
+import { makeRouteSource } from './route_source.ts';
+import { makeRequestsInFlight, makeSchedulerClient } from './scheduler_client.ts';
 import { makeMembership } from './membership.ts';
 import { makeOwnMember } from './own_member.ts';
 import { makePeerGroup } from './peer_group.ts';
 import { makePeerClient, servePeers } from './peers.ts';
+import { makeSchedulerHints } from './scheduler_hints.ts';
 import { makeSchedulerMonitor } from './scheduler_monitor.ts';
+import { makeTermHolder } from './term_holder.ts';
 import { trackStoreHealth } from './store_health.ts';
 import { makeOperatorStateSource } from './operator_state.ts';
 
@@ -59,9 +65,7 @@
 }
 
 const readinessMaxBodyBytes = 1_024;
-const maxHeartbeatAgeMs = 1_900;
 const configurationAgeMarginMs = 350;
-const claimDelayPerRankMs = 50;
 const drainDelayMs = 2_300;
 const drainPollMs = 50;
 const graceMarginMs = 900;
@@ -83,18 +87,16 @@
   const { initial: self } = ownMember;
   const peers = makePeerClient(clock);
   let servers: Awaited<ReturnType<typeof listen>>[] = [];
+  // Set below: the election depends on the parts that read the claim from here.
+  const election: { leadership?: Leadership; candidacy?: Candidacy } = {};
   const membership = makeMembership({
     store,
     clock,
     log: logs.host,
     self: () => ownMember.current(servers[0]?.openConnections() ?? 0),
+    isCandidate: () => election.candidacy?.isCandidate() ?? true,
   });
-  let term: SchedulerTerm | undefined;
   let isDraining = false;
-  let routes: RouteTable | undefined;
-
-  // Set below: the election depends on the parts that read the claim from here.
-  const election: { leadership?: Leadership } = {};
 
   function otherMembers(): Member[] {
     const claim = election.leadership?.claim();
@@ -120,33 +122,32 @@
     (() => Promise.resolve(failWith(ErrorKind.PeerUnavailable, 'no advice service is set')));
   const advicePool = makeHostAdvicePool({ clock, self, membership, peers, advise });
 
-  function beginTerm(won: WonClaim): void {
-    term?.stop();
-    const newTerm = makeTerm({
-      store,
-      workers,
-      clock,
-      log: logs.cell,
-      advicePool,
-      registryTable,
-      decodeWorker,
-      operatorState: operatorState.current,
-      claim: { epoch: won.epoch, instance: self.instance, sequence: won.sequence },
-      predecessorMayAct: won.predecessorMayAct,
-      maxLeaseMs: settings.maxLeaseMs,
-      onEnded() {
-        if (term === newTerm) term = undefined;
-      },
-    });
-    term = newTerm;
-    newTerm.run().catch((error: unknown) => {
-      logs.cell.error('scheduler term failed', {
-        event: 'scheduler-failed',
-        reason: String(error),
-      });
-      newTerm.stop();
-    });
-  }
+  const termHolder = makeTermHolder({
+    log: logs.cell,
+    makeTerm: (won, onEnded) =>
+      makeTerm({
+        store,
+        workers,
+        clock,
+        log: logs.cell,
+        advicePool,
+        registryTable,
+        decodeWorker,
+        operatorState: operatorState.current,
+        claim: { epoch: won.epoch, instance: self.instance, sequence: won.sequence },
+        predecessorMayAct: won.predecessorMayAct,
+        maxLeaseMs: settings.maxLeaseMs,
+        onEnded,
+      }),
+  });
+
+  const candidacy = makeCandidacy({
+    clock,
+    name: self.name,
+    members: membership.members,
+    claim: () => election.leadership?.claim(),
+  });
+  election.candidacy = candidacy;
 
   const leadership = makeLeadership({
     store,
@@ -154,47 +155,39 @@
     random,
     log: logs.cell,
     self: { name: self.name, instance: self.instance, address: self.address },
-    claimDelayMs() {
-      const previousClaim = election.leadership?.claim();
-      const members = membership.members().filter(({ name }) => name !== previousClaim?.name);
-      const isPlanned = previousClaim?.instance === '';
-      const rank = rankCandidates(members, { isPlanned }).findIndex(
-        ({ name }) => name === self.name,
-      );
-      return Math.max(0, rank) * claimDelayPerRankMs;
-    },
+    claimDelayMs: candidacy.claimDelayMs,
+    isCandidate: candidacy.isCandidate,
     mayClaim: () => !isDraining && operatorState.current() !== undefined,
-    onClaimWon: beginTerm,
-    onOtherClaim: () => term?.stop(),
+    onClaimWon: termHolder.begin,
+    onOtherClaim: termHolder.stop,
   });
 
   election.leadership = leadership;
 
-  function getRoutes(): RouteTable | undefined {
-    const current = operatorState.current();
-    if (!current) return undefined;
-    const maxAgeMs = settings.maxConfigurationDelayMs - configurationAgeMarginMs;
-    if (clock.now() - current.currentAtMs > maxAgeMs) return undefined;
-    if (routes?.version !== current.configuration.version) {
-      routes = makeRouteTable(current.configuration);
-    }
-    return routes;
-  }
-
-  function getFreshHeartbeat(): Heartbeat | undefined {
-    const heartbeat = leadership.heartbeat();
-    const isFresh = heartbeat && clock.now() - heartbeat.seenAtMs <= maxHeartbeatAgeMs;
-    return isFresh ? heartbeat : undefined;
-  }
+  const getRoutes = makeRouteSource({
+    clock,
+    operatorState: operatorState.current,
+    maxAgeMs: settings.maxConfigurationDelayMs - configurationAgeMarginMs,
+  });
 
-  const { isServing: isStoreServing } = storeHealth;
-  const schedulerMonitor = makeSchedulerMonitor({ clock, peers, leadership, isStoreServing, self });
+  const requestsInFlight = makeRequestsInFlight(clock);
+  const schedulerMonitor = makeSchedulerMonitor({
+    clock,
+    log: logs.host,
+    peers,
+    leadership,
+    isStoreServing: storeHealth.isServing,
+    isCandidate: candidacy.isCandidate,
+    oldestRequestMs: requestsInFlight.oldestMs,
+    self,
+  });
 
   const schedulerClient = makeSchedulerClient({
     clock,
     log: logs.front,
     peers,
-    localService: () => term?.service,
+    requestsInFlight,
+    localService: termHolder.service,
     remoteClaim() {
       const claim = schedulerMonitor.remoteClaim();
       return schedulerMonitor.isResponsive() ? claim : undefined;
@@ -207,14 +200,7 @@
     clock,
     log: logs.front,
     getRoutes,
-    getPendingCount(queue) {
-      const pending = getFreshHeartbeat()?.pending;
-      return pending && (pending[queue] ?? 0);
-    },
-    isOverloaded(queue, organisation) {
-      const { busyQueues = [], beyondShare = [] } = getFreshHeartbeat() ?? {};
-      return busyQueues.includes(queue) && beyondShare.includes(organisation);
-    },
+    ...makeSchedulerHints({ clock, heartbeat: leadership.heartbeat }),
     isStoreDown: storeHealth.isDown,
     relay: peerGroup.relay,
     isJobId,
@@ -231,9 +217,16 @@
 
   const onError = logFailure(logs.host, 'a request or a background loop');
 
+  /** Gives up the scheduler's role, if this process holds it. */
+  function resign(): Promise<void> {
+    const resignation = leadership.resign(resignTimeoutMs);
+    termHolder.stop();
+    return resignation;
+  }
+
   function kill(): void {
     shutdown.abort();
-    term?.stop();
+    termHolder.stop();
     servers.forEach((server) => server.close());
   }
 
@@ -262,7 +255,7 @@
             advise,
             relay: frontEnd.handle,
             operatorState: operatorState.toMessage,
-            scheduler: () => term?.service,
+            scheduler: termHolder.service,
           },
           onError,
         ),
@@ -273,6 +266,17 @@
         membership.run(shutdown.signal),
         leadership.run(shutdown.signal),
         schedulerMonitor.run(shutdown.signal),
+        runHandOvers(
+          {
+            clock,
+            log: logs.host,
+            peers,
+            isTermCalm: () => !isDraining && termHolder.isCalm(),
+            betterMember: candidacy.betterMember,
+            resign,
+          },
+          shutdown.signal,
+        ),
       ];
       loops.forEach((loop) => loop.catch(onError));
     },
@@ -281,8 +285,7 @@
       isDraining = true;
       logs.host.info('stopping', { event: 'stop', open: servers[0]?.openConnections() });
       const deadlineMs = clock.now() + settings.graceMs - graceMarginMs;
-      const resignation = leadership.resign(resignTimeoutMs);
-      term?.stop();
+      const resignation = resign();
       // New connections arrive until the platform has noticed that this process is not ready.
       await Promise.all([resignation, clock.sleep(drainDelayMs)]);
       servers[0]?.drain();
--- a/src/host/membership.ts
+++ b/src/host/membership.ts
@@ -21,7 +21,9 @@
 const renewIntervalMs = 5_000;
 const memberTimeoutMs = 12_000;
 const renewRetryMs = 500;
-const watchIntervalMs = 2_000;
+const candidateWatchIntervalMs = 2_000;
+/** Processes that would not claim first need the list only to find another process. */
+const otherWatchIntervalMs = 10_000;
 
 /**
  * Makes the list of members.
@@ -35,8 +37,10 @@
   log: Logger;
   /** The row of this process at present. */
   self(): Member;
+  /** Whether this process is among those that would claim the scheduler's role first. */
+  isCandidate(): boolean;
 }): Membership {
-  const { store, clock, log, self } = options;
+  const { store, clock, log, self, isCandidate } = options;
   const membersByKey = new Map<string, { member: Member; seenAtMs: number }>();
 
   function applyRow(row: StoredRow): void {
@@ -52,7 +56,7 @@
     table: membersTable,
     readAll: () => store.read({ table: membersTable, part: '' }),
     onRows: (rows) => rows.forEach(applyRow),
-    pauseMs: watchIntervalMs,
+    pauseMs: () => (isCandidate() ? candidateWatchIntervalMs : otherWatchIntervalMs),
   });
 
   async function renew(signal: AbortSignal): Promise<void> {
--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -44,6 +44,8 @@
   instance?: string;
   /** Whether nothing listens at the address. */
   isConnectionRefused: boolean;
+  /** Epoch of the term that the process holds; 0 without one. */
+  epoch: number;
   /** Time for which the store has answered none of the scheduler's writes. */
   storeFailingMs: number;
   /** Time for which the store has rejected all of the scheduler's writes. */
@@ -67,6 +69,7 @@
 const serverErrorStatus = 500;
 const unavailableStatus = 503;
 const connectionsPerPeer = 16;
+const pingConnectionsPerPeer = 5;
 const relayTimeoutMs = 1_300;
 const operatorStateTimeoutMs = 500;
 const schedulerTimeoutMs = 1_600;
@@ -121,6 +124,7 @@
     if (path === '/ping')
       return respondJson(200, {
         instance: service.instance(),
+        epoch: service.scheduler()?.epoch ?? 0,
         storeFailingMs: service.scheduler()?.storeFailingMs() ?? 0,
         storeRejectedMs: service.scheduler()?.storeRejectedMs() ?? 0,
       });
@@ -153,11 +157,17 @@
 export function makePeerClient(clock: Clock): PeerClient {
   const clients = new Map<string, JsonClient>();
 
-  function getClient(address: string): JsonClient {
-    const existing = clients.get(address);
+  // Pings have connections of their own, so that they do not queue behind other requests.
+  const pingClients = new Map<string, JsonClient>();
+
+  function getClient(
+    address: string,
+    { cache = clients, connections = connectionsPerPeer } = {},
+  ): JsonClient {
+    const existing = cache.get(address);
     if (existing) return existing;
-    const client = makeJsonClient(address, { connections: connectionsPerPeer, clock });
-    clients.set(address, client);
+    const client = makeJsonClient(address, { connections, clock });
+    cache.set(address, client);
     return client;
   }
 
@@ -215,22 +225,24 @@
     fetchOperatorState: (address) =>
       requestPeer(address, '/wishes', { timeoutMs: operatorStateTimeoutMs }),
     async ping(address, timeoutMs) {
-      const response = await getClient(address).request({
-        method: 'GET',
-        path: '/ping',
-        timeoutMs,
+      const client = getClient(address, {
+        cache: pingClients,
+        connections: pingConnectionsPerPeer,
       });
+      const response = await client.request({ method: 'GET', path: '/ping', timeoutMs });
       if (isNoResponse(response)) {
         return {
           isConnectionRefused: response.isConnectionRefused,
+          epoch: 0,
           storeFailingMs: 0,
           storeRejectedMs: 0,
         };
       }
-      const { instance, storeFailingMs, storeRejectedMs } = response.body;
+      const { instance, epoch, storeFailingMs, storeRejectedMs } = response.body;
       return {
         instance: String(instance),
         isConnectionRefused: false,
+        epoch: Number(epoch),
         storeFailingMs: Number(storeFailingMs),
         storeRejectedMs: Number(storeRejectedMs),
       };
--- a/src/host/scheduler_client.ts
+++ b/src/host/scheduler_client.ts
@@ -24,17 +24,48 @@
   clock: Clock;
   log: Logger;
   peers: PeerClient;
+  requestsInFlight: RequestsInFlight;
   /** The scheduler's service while this process is the scheduler. */
   localService(): SchedulerService | undefined;
   /** The claim of the scheduler if it is another process and responds to pings. */
   remoteClaim(): Claim | undefined;
 }
 
+/** The requests to the scheduler that are in flight. */
+export interface RequestsInFlight {
+  /** Records a request; returns a function that records its end. */
+  begin(): () => void;
+  /** Age of the oldest request in flight; 0 if there is none. */
+  oldestMs(): number;
+}
+
 const backOffMs = 400;
 const claimCheckIntervalMs = 100;
 const maxRequestsPerBatch = 60;
 const maxBatchesInFlight = 3;
 
+/**
+ * Makes a record of the requests in flight.
+ *
+ * @example
+ * const end = requestsInFlight.begin();
+ */
+export function makeRequestsInFlight(clock: Clock): RequestsInFlight {
+  /** Start times, oldest first. */
+  const starts = new Map<symbol, number>();
+  return {
+    begin() {
+      const request = Symbol('request');
+      starts.set(request, clock.now());
+      return () => starts.delete(request);
+    },
+    oldestMs() {
+      const [oldest] = starts.values();
+      return oldest === undefined ? 0 : clock.now() - oldest;
+    },
+  };
+}
+
 /**
  * Makes a client of the scheduler.
  *
@@ -42,7 +73,7 @@
  * const result = await schedulerClient.submit(job);
  */
 export function makeSchedulerClient(options: SchedulerClientOptions): SchedulerClient {
-  const { clock, log, peers, localService, remoteClaim } = options;
+  const { clock, log, peers, requestsInFlight, localService, remoteClaim } = options;
   let backedOff = { instance: '', untilMs: 0 };
 
   function getAvailableAddress(): string | undefined {
@@ -78,11 +109,13 @@
       return failWith(ErrorKind.PeerUnavailable, 'no other process is a responsive scheduler');
     }
     const requestEnded = new AbortController();
+    const endRequest = requestsInFlight.begin();
     const result = await Promise.race<Either<Failure, Result[]>>([
       send(target),
       failWhenUnresponsive(target, requestEnded.signal),
     ]);
     requestEnded.abort();
+    endRequest();
     return result.ifLeft(backOff);
   }
 
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -134,6 +134,10 @@
   incarnationStartMs: number;
   /** It has responded under this scheduler's fencing token, so its list of runs is complete. */
   isSynced: boolean;
+  /** Monotonic time of its last report. */
+  reportedAtMs: number;
+  /** Monotonic time since which its reports have come without a long gap. */
+  observedSinceMs: number;
   /** It responded to the last lease renewal. */
   isResponsive: boolean;
   /** Its entry is in the registry. */
@@ -187,6 +191,8 @@
     entry,
     incarnationStartMs: 0,
     isSynced: false,
+    reportedAtMs: -Infinity,
+    observedSinceMs: -Infinity,
     isResponsive: false,
     isRegistered: true,
     used: noResources,
--- a/src/scheduler/workers.ts
+++ b/src/scheduler/workers.ts
@@ -20,6 +20,8 @@
   unknownRuns: { task: string; attempt: number }[];
 }
 
+/** After a longer gap, progress before the gap says nothing about a stall. */
+const maxReportGapMs = 2_500;
 const failuresBeforeBackoff = 2;
 const initialBackoffMs = 4_000;
 const maxBackoffMs = 16_000;
@@ -86,6 +88,10 @@
   // first complete list has not started and never will.
   const isFirst = !worker.isSynced;
   worker.incarnationStartMs = report.incarnationStartMs;
+  if (!worker.isResponsive || nowMs - worker.reportedAtMs > maxReportGapMs) {
+    worker.observedSinceMs = nowMs;
+  }
+  worker.reportedAtMs = nowMs;
   worker.isResponsive = true;
   worker.isSynced ||= !report.hasMoreEnds;
   const listed = new Set([...report.running, ...report.ended].map(formatRunKey));
@@ -128,16 +134,21 @@
   return Math.max(...members.map(({ progressAtMs }) => progressAtMs));
 }
 
-/** Finds the running runs of responsive workers that have not progressed for `stallMs`. */
-export function findStalledRuns(state: CellState, nowMs: number, stallMs: number): Run[] {
+/**
+ * Finds the runs whose workers have reported them for `stallMs` without progress. A worker that was
+ * silent, or whose reports come late, is not observed in the meantime, so its runs do not count as
+ * stalled.
+ */
+export function findStalledRuns(state: CellState, stallMs: number): Run[] {
   return [...state.workers.values()]
     .filter(({ isResponsive }) => isResponsive)
-    .flatMap(({ runs }) => [...runs.values()])
-    .filter(
-      (run) =>
-        run.phase === RunPhase.Running &&
-        !run.step.spec.longRunning &&
-        run.percent < completePercent &&
-        nowMs - getLastProgressAtMs(run) > stallMs,
+    .flatMap(({ runs, reportedAtMs, observedSinceMs }) =>
+      [...runs.values()].filter(
+        (run) =>
+          run.phase === RunPhase.Running &&
+          !run.step.spec.longRunning &&
+          run.percent < completePercent &&
+          reportedAtMs - Math.max(observedSinceMs, getLastProgressAtMs(run)) > stallMs,
+      ),
     );
 }
