Keep one message, defect or old permission from acting on a whole process

The conditions of a start are checked each time that it is sent; a start that may have been sent is stopped instead of repeated. Another process's view holds only if it is more recent. A response that took longer than its wait, by the wall clock too, is dated back. Rows are applied one by one; a failing job is set aside for 5 s and logged; a loop starts again after an error; an uncaught exception resigns and exits with 70.

Ruled out: a handler error of the HTTP servers, which was already caught.

--- a/src/bin/host.ts
+++ b/src/bin/host.ts
@@ -17,6 +17,9 @@
 } from '../../platform/mod.ts';
 
 const configurationExitCode = 78;
+const defectExitCode = 70;
+/** Longest time that a process with a defect takes to give up the scheduler's role. */
+const maxResignationMs = 1_000;
 const maxLogBufferBytes = 4_000_000;
 const metricsPath = '/metrics';
 const maxMetricsBodyBytes = 1_024;
@@ -67,6 +70,14 @@
 process.on('SIGHUP', () =>
   makeCountedLogger(Component.Host).info('settings file changed', { event: 'reload' }),
 );
+process.on('unhandledRejection', logFailure(makeCountedLogger(Component.Host), 'a promise'));
+process.on('uncaughtException', (error) => {
+  // The state may be inconsistent, so the role is given up before the process ends.
+  logFailure(makeCountedLogger(Component.Host), 'the process')(error);
+  const exit = () => process.exit(defectExitCode);
+  setTimeout(exit, maxResignationMs);
+  host.resign().then(exit, exit);
+});
 process.on('SIGTERM', () => {
   host.stop().then(
     () => process.exit(0),
--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -16,6 +16,7 @@
 import type { Worker } from '../scheduler/mod.ts';
 import type { RunEndHandler } from './_run_end_handler.ts';
 import { maxRenewalWithoutStoreMs } from './_term_state.ts';
+import { forEachRow } from './table_watcher.ts';
 import type { Term } from './_term_state.ts';
 import { makeWorkerLink } from './worker_link.ts';
 import type { WorkerLink } from './worker_link.ts';
@@ -161,7 +162,7 @@
 
   return {
     addWorkers(rows) {
-      rows.forEach((row) => {
+      forEachRow(rows, log, (row) => {
         const entry = term.decodeWorker(row);
         if (entry) state.workers.set(entry.id, makeWorker(entry));
       });
@@ -178,7 +179,7 @@
         const listed = new Set(rows.map(({ key }) => key));
         [...state.workers.keys()].filter((id) => !listed.has(id)).forEach(markUnregistered);
       }
-      rows.forEach((row) => {
+      forEachRow(rows, log, (row) => {
         const entry = row.deleted ? undefined : term.decodeWorker(row);
         if (entry) upsertWorker(entry);
         else markUnregistered(row.key);
--- a/src/cell/_job_rows.ts
+++ b/src/cell/_job_rows.ts
@@ -16,6 +16,7 @@
   progressTable,
   schedulerPart,
 } from './rows.ts';
+import { forEachRow } from './table_watcher.ts';
 import type { Term } from './_term_state.ts';
 
 /**
@@ -75,9 +76,8 @@
  * stored them.
  */
 export function addAcceptedJobs(term: Term, rows: StoredRow[], hasEntryRows: boolean): void {
-  [...rows]
-    .sort((a, b) => a.version - b.version)
-    .forEach((row) => addAcceptedJob(term, row, hasEntryRows));
+  const sorted = [...rows].sort((a, b) => a.version - b.version);
+  forEachRow(sorted, term.log, (row) => addAcceptedJob(term, row, hasEntryRows));
 }
 
 /** Cancels the jobs for which cancellation rows exist. */
@@ -102,7 +102,7 @@
 /** Restores the progress stored by predecessors; jobs and workers must have been added before. */
 export function restoreJobs(term: Term, rows: StoredRow[]): void {
   const { state, clock } = term;
-  rows.forEach(({ key, value }) => {
+  forEachRow(rows, term.log, ({ key, value }) => {
     const job = state.jobs.get(key);
     const record = JSON.parse(value) as JobRecord;
     if (job) restoreProgress(state, job, record, clock.now());
--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -11,6 +11,7 @@
 import type { WorkerClient } from '../model/mod.ts';
 import { RunPhase, getRunKey, getTaskName } from '../scheduler/mod.ts';
 import type { CellState, Run, Worker } from '../scheduler/mod.ts';
+import { StartObstacle } from './_start_conditions.ts';
 import type { WorkerLink } from './worker_link.ts';
 
 /** Sends start and stop orders to workers. */
@@ -28,6 +29,8 @@
   fencingToken: number;
   findLink(workerId: string): WorkerLink | undefined;
   hasEnded(): boolean;
+  /** Returns why the start order of a run must not be sent now; undefined if it may be. */
+  findObstacle(run: Run, worker: Worker): StartObstacle | undefined;
   /** Called when a start certainly was not carried out and never will be. */
   onRejected(run: Run, rejection: Rejection): void;
   onStarted(run: Run): void;
@@ -136,6 +139,13 @@
     }
   }
 
+  /** Gives up a start whose conditions have changed since its decision. */
+  async function withdrawStart(run: Run, reason: StartObstacle, mayHaveRun: boolean) {
+    logOrder('start-not-sent', run, { reason, mayHaveRun });
+    if (mayHaveRun) await stop(run, `the conditions of the start have changed: ${reason}`);
+    else onRejected(run, Rejection.Late);
+  }
+
   async function start(run: Run): Promise<void> {
     // A report may clear `isStartUncertain`, but an order that may have been sent may still have run.
     let hasAttempted = false;
@@ -161,6 +171,15 @@
         onRejected(run, Rejection.Ticket);
         return;
       }
+      const obstacle = options.findObstacle(run, worker);
+      if (obstacle === StartObstacle.Stale) {
+        await clock.sleep(startRetryDelayMs);
+        continue;
+      }
+      if (obstacle !== undefined) {
+        await withdrawStart(run, obstacle, mayHaveRun);
+        return;
+      }
       run.isStartUncertain = true;
       hasAttempted = true;
       const outcome = await sendStart(run, worker);
--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -10,11 +10,14 @@
 import {
   acceptedJob,
   cellWithWorkers,
+  configuration,
   decisionInputs,
+  queue,
   stepSpec,
   submit,
 } from '../testing/fake_cell.ts';
 import { makeOrderSender, computeOrderTimes } from './_orders.ts';
+import { findStartObstacle, StartObstacle } from './_start_conditions.ts';
 import type { WorkerLink } from './worker_link.ts';
 
 const test = suite('order sender');
@@ -23,6 +26,7 @@
 function setUp(
   workers: Partial<WorkerClient>,
   onRejected: (rejection: Rejection) => void = () => {},
+  findObstacle: () => StartObstacle | undefined = () => undefined,
 ) {
   const state = cellWithWorkers(1);
   submit(state, acceptedJob('a', [stepSpec()]));
@@ -35,6 +39,7 @@
     fencingToken: 1,
     findLink: () => ({ leaseUntilMs: () => 1_000 }) as Partial<WorkerLink> as WorkerLink,
     hasEnded: () => false,
+    findObstacle,
     onRejected: (_run, rejection) => onRejected(rejection),
     onStarted: () => undefined,
     onFenced: () => undefined,
@@ -197,4 +202,98 @@
   assert.is(sends, 2);
 });
 
+test('a start that was decided before an evacuation is not sent after it', async () => {
+  const outcomes: unknown[] = [];
+  const { run, orders } = setUp(
+    {
+      async start() {
+        outcomes.push('sent');
+        return undefined;
+      },
+    },
+    (rejection) => outcomes.push(rejection),
+    () => StartObstacle.Evacuated,
+  );
+  await orders.start(run);
+  assert.equal(outcomes, [Rejection.Late]);
+});
+
+test('an unanswered start is not sent again after an evacuation, and cannot take effect later', async () => {
+  const calls: string[] = [];
+  let obstacle: StartObstacle | undefined;
+  const { run, orders } = setUp(
+    {
+      async start() {
+        calls.push('start');
+        obstacle = StartObstacle.Evacuated;
+        return Rejection.Unknown;
+      },
+      async stop() {
+        calls.push('stop');
+        return undefined;
+      },
+    },
+    () => calls.push('rejected'),
+    () => obstacle,
+  );
+  await orders.start(run);
+  assert.equal(calls, ['start', 'stop']);
+});
+
+test('no start is sent while the operator state may be stale, as after a pause of the process', async () => {
+  const sentAtMs: number[] = [];
+  const freshAtMs = systemClock.now() + 200;
+  const { run, orders } = setUp(
+    {
+      async start() {
+        sentAtMs.push(systemClock.now());
+        return undefined;
+      },
+    },
+    () => undefined,
+    () => (systemClock.now() < freshAtMs ? StartObstacle.Stale : undefined),
+  );
+  await orders.start(run);
+  assert.is(sentAtMs.length, 1);
+  assert.ok(sentAtMs[0]! >= freshAtMs);
+});
+
+test('the conditions of a start are those in force when it is sent', () => {
+  const { state, run } = setUp({});
+  const worker = state.workers.get(run.workerId)!;
+  const upperLimit = (cpu: number) => ({ cpu, memoryMb: 0, gpu: 0 });
+  const [organisation] = configuration().organisations;
+  const find = ({
+    ageMs = 0,
+    evacuated = [] as string[],
+    service = 'ledger',
+    limitCpu = 0,
+    isDraining = false,
+  }) => {
+    worker.entry = { ...worker.entry, isDraining };
+    return findStartObstacle(
+      {
+        state,
+        clock: systemClock,
+        operatorState: () => ({
+          configuration: configuration([queue({ service })], {
+            organisations: [{ ...organisation!, upperLimit: upperLimit(limitCpu) }],
+          }),
+          evacuated: new Set(evacuated),
+          currentAtMs: systemClock.now() - ageMs,
+        }),
+      },
+      run,
+      worker,
+    );
+  };
+  assert.is(find({}), undefined);
+  assert.is(find({ ageMs: 2_000 }), StartObstacle.Stale);
+  assert.is(find({ evacuated: ['north'] }), StartObstacle.Evacuated);
+  assert.is(find({ service: 'other' }), StartObstacle.Service);
+  assert.is(find({ limitCpu: 999 }), StartObstacle.Limit);
+  assert.is(find({ limitCpu: 1_000 }), undefined);
+  assert.is(find({ isDraining: true }), StartObstacle.Draining);
+});
+
 test.run();
--- a/src/cell/_pass_runner.ts
+++ b/src/cell/_pass_runner.ts
@@ -8,6 +8,7 @@
 import type { PendingAdviceRequest, HoldReason, Job, Run } from '../scheduler/mod.ts';
 import type { OrderSender } from './_orders.ts';
 import type { AdviceSlot } from './advice_pool.ts';
+import { maxOperatorStateAgeMs } from './_start_conditions.ts';
 import type { Term } from './_term_state.ts';
 
 /** Runs scheduling passes. */
@@ -47,7 +48,6 @@
 const passDelayMs = 3;
 /** Largest share of the process's time that is spent on passes. */
 const maxPassTimeShare = 0.5;
-const maxOperatorStateAgeMs = 1_700;
 const orderMarginMs = 40;
 
 /**
@@ -128,7 +128,7 @@
     const nowMs = clock.now();
     const operatorState = term.operatorState();
     if (!operatorState || nowMs - operatorState.currentAtMs > maxOperatorStateAgeMs) return;
-    const { starts, adviceRequests, held, tooLate } = decideStarts(state, {
+    const { starts, adviceRequests, held, tooLate, failures } = decideStarts(state, {
       nowMs,
       wallMs: clock.wallTime(),
       configuration: operatorState.configuration,
@@ -136,6 +136,14 @@
       orderDelayMs: orderMarginMs + 2 * writer.latencyMs(),
       acquireAdviceSlot: advicePool.acquire,
     });
+    failures.forEach(({ job, error }) =>
+      log.error('a job is set aside since no decision about it could be made', {
+        event: 'job-set-aside',
+        id: job.accepted.id,
+        reason: String(error),
+        stack: (error as Error).stack,
+      }),
+    );
     report.passes += 1;
     report.starts += starts.length;
     report.adviceRequests += adviceRequests.length;
@@ -156,7 +164,11 @@
       () => {
         passTimer = undefined;
         const startedAtMs = clock.now();
-        runPass();
+        try {
+          runPass();
+        } catch (error) {
+          logFailure(log, 'a scheduling pass')(error);
+        }
         const endedAtMs = clock.now();
         report.passMs += endedAtMs - startedAtMs;
         earliestPassAtMs = endedAtMs + (endedAtMs - startedAtMs) * (1 / maxPassTimeShare - 1);
--- a/src/cell/batch_writer.ts
+++ b/src/cell/batch_writer.ts
@@ -246,7 +246,12 @@
   function writeNow(): void {
     clearTimeout(delayTimer);
     delayTimer = undefined;
-    writeBatches().catch(logFailure(log, 'the batch writer'));
+    writeBatches().catch((error: unknown) => {
+      // Nothing that waits may count as stored, and nothing later can be, so the term ends.
+      logFailure(log, 'the batch writer')(error);
+      close();
+      onDeposed();
+    });
   }
 
   function writeLater(): void {
--- a/src/cell/table_watcher.ts
+++ b/src/cell/table_watcher.ts
@@ -2,6 +2,7 @@
  * Watches the rows of a table: reads a snapshot, then polls for changes, and reads a new snapshot
  * whenever the store no longer holds the history in between.
  */
+import { makeTimeMark } from '../clock/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { Logger } from '../logs/mod.ts';
 import type { Store, StoredRow, VersionedRows } from '../model/mod.ts';
@@ -31,8 +32,34 @@
   pauseMs?(): number;
 }
 
+/**
+ * Applies each row by itself. A row that fails, which only a malformed one does, is logged and skipped.
+ *
+ * @example
+ * forEachRow(rows, log, (row) => addJob(JSON.parse(row.value)));
+ */
+export function forEachRow(rows: StoredRow[], log: Logger, apply: (row: StoredRow) => void): void {
+  rows.forEach((row) => {
+    try {
+      apply(row);
+    } catch (error) {
+      const { table, part, key, version } = row;
+      log.error('a row is malformed and was skipped', {
+        event: 'row-malformed',
+        table,
+        part,
+        key,
+        version,
+        reason: String(error),
+      });
+    }
+  });
+}
+
 const defaultWaitMs = 700;
 const retryDelayMs = 120;
+/** A response that takes longer than this beyond its wait may have arrived while the process was paused. */
+const maxResponseMs = 500;
 
 /**
  * Makes a watcher of a table.
@@ -53,7 +80,7 @@
     pauseMs = () => 0,
   } = options;
   let version: number | undefined;
-  let currentAtMs: number | undefined;
+  const lastCurrent = makeTimeMark(clock);
   let isFailing = false;
 
   function recordResult(hasFailed: boolean, reason?: unknown): void {
@@ -75,7 +102,7 @@
       Left: handleFailure,
       Right: (snapshot) => {
         version = snapshot.version;
-        currentAtMs = startedAtMs;
+        lastCurrent.record(startedAtMs);
         onRows(snapshot.rows, true);
         recordResult(false);
         return true;
@@ -83,7 +110,17 @@
     });
   }
 
+  /** Returns when the content of a response that took so long was certainly current. */
+  function findCurrentTime({ atMs, wallMs }: { atMs: number; wallMs: number }): number {
+    const nowMs = clock.now();
+    // The monotonic clock does not count the time for which the machine was suspended.
+    const tookMs = Math.max(nowMs - atMs, clock.wallTime() - wallMs);
+    const wasPaused = tookMs > waitMs + maxResponseMs;
+    return wasPaused ? nowMs - tookMs : nowMs;
+  }
+
   async function readChanges(after: number): Promise<boolean> {
+    const sentAt = { atMs: clock.now(), wallMs: clock.wallTime() };
     const result = await store.watch(table, { after, waitMs });
     return result.caseOf({
       Left: handleFailure,
@@ -98,7 +135,7 @@
           return true;
         }
         version = view.version;
-        currentAtMs = clock.now();
+        lastCurrent.record(findCurrentTime(sentAt));
         if (view.rows.length > 0) onRows(view.rows, false);
         recordResult(false);
         return true;
@@ -107,7 +144,7 @@
   }
 
   return {
-    currentAtMs: () => currentAtMs,
+    currentAtMs: lastCurrent.atMs,
     async run(signal) {
       while (!signal.aborted) {
         const hasSucceeded = await (version === undefined ? readSnapshot() : readChanges(version));
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -37,6 +37,7 @@
 import { makePassRunner } from './_pass_runner.ts';
 import type { PassRunner } from './_pass_runner.ts';
 import { makeRetention } from './_retention.ts';
+import { findStartObstacle } from './_start_conditions.ts';
 import { makePressureCache } from './_pressure_cache.ts';
 import { maxRenewalWithoutStoreMs } from './_term_state.ts';
 import type { Term, TermOptions } from './_term_state.ts';
@@ -151,6 +152,7 @@
     fencingToken: claim.epoch,
     findLink: fleet.findLink,
     hasEnded: () => endController.signal.aborted,
+    findObstacle: (run, worker) => findStartObstacle(term, run, worker),
     onRejected(run, rejection) {
       const worker = state.workers.get(run.workerId);
       if (rejection === Rejection.Ticket) run.step.advice.tickets.delete(run.workerId);
--- a/src/clock/mod.ts
+++ b/src/clock/mod.ts
@@ -5,3 +5,4 @@
 export * from './virtual_clock.ts';
 export * from './random.ts';
 export * from './timeout.ts';
+export * from './time_mark.ts';
--- a/src/host/hand_over.ts
+++ b/src/host/hand_over.ts
@@ -37,14 +37,16 @@
 }
 
 /**
- * Hands the role over whenever a larger host responds, until the signal aborts.
+ * Makes a loop that hands the role over whenever a larger host responds.
  *
  * @example
- * await runHandOvers({ clock, log, peers, isTermCalm, betterMember, resign }, signal);
+ * await makeHandOvers({ clock, log, peers, isTermCalm, betterMember, resign })(signal);
  */
-export async function runHandOvers(options: HandOverOptions, signal: AbortSignal): Promise<void> {
-  while (!signal.aborted) {
-    await options.clock.sleep(checkIntervalMs, signal);
-    await handOver(options);
-  }
+export function makeHandOvers(options: HandOverOptions): (signal: AbortSignal) => Promise<void> {
+  return async (signal) => {
+    while (!signal.aborted) {
+      await options.clock.sleep(checkIntervalMs, signal);
+      await handOver(options);
+    }
+  };
 }
--- a/src/host/hand_over_test.ts
+++ b/src/host/hand_over_test.ts
@@ -5,7 +5,7 @@
 import { makeVirtualClock } from '../clock/mod.ts';
 import { silentLogger } from '../logs/mod.ts';
 import { makeCandidacy } from './candidacy.ts';
-import { runHandOvers } from './hand_over.ts';
+import { makeHandOvers } from './hand_over.ts';
 
 const test = suite('hand-over to a larger host');
 
@@ -37,30 +37,27 @@
     members: () => [makeMember('a', 1), options.other],
     claim: () => undefined,
   });
-  const running = runHandOvers(
-    {
-      clock,
-      log: silentLogger,
-      peers: {
-        async ping() {
-          return {
-            ...(options.respondingInstance ? { instance: options.respondingInstance } : {}),
-            isConnectionRefused: false,
-            epoch: 0,
-            storeFailingMs: 0,
-            storeRejectedMs: 0,
-          };
-        },
-      },
-      isTermCalm: () => isScheduler && options.isTermCalm,
-      betterMember: candidacy.betterMember,
-      async resign() {
-        isScheduler = false;
-        resignations += 1;
+  const running = makeHandOvers({
+    clock,
+    log: silentLogger,
+    peers: {
+      async ping() {
+        return {
+          ...(options.respondingInstance ? { instance: options.respondingInstance } : {}),
+          isConnectionRefused: false,
+          epoch: 0,
+          storeFailingMs: 0,
+          storeRejectedMs: 0,
+        };
       },
     },
-    stopped.signal,
-  );
+    isTermCalm: () => isScheduler && options.isTermCalm,
+    betterMember: candidacy.betterMember,
+    async resign() {
+      isScheduler = false;
+      resignations += 1;
+    },
+  })(stopped.signal);
   await clock.advance(5_000);
   stopped.abort();
   await running;
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -29,7 +29,7 @@
 import { makeHostAdvicePool } from './host_advice_pool.ts';
 import { makeCandidacy } from './candidacy.ts';
 import type { Candidacy } from './candidacy.ts';
-import { runHandOvers } from './hand_over.ts';
+import { makeHandOvers } from './hand_over.ts';
 import { makeRouteSource } from './route_source.ts';
 import { makeRequestsInFlight, makeSchedulerClient } from './scheduler_client.ts';
 import { makeMembership } from './membership.ts';
@@ -38,6 +38,7 @@
 import { makePeerClient, servePeers } from './peers.ts';
 import { makeSchedulerHints } from './scheduler_hints.ts';
 import { makeSchedulerMonitor } from './scheduler_monitor.ts';
+import { runForever } from './run_forever.ts';
 import { makeTermHolder } from './term_holder.ts';
 import { trackStoreHealth } from './store_health.ts';
 import { makeOperatorStateSource } from './operator_state.ts';
@@ -60,6 +61,8 @@
   start(): Promise<void>;
   /** Resigns and completes the requests in flight; resolves when the process may exit. */
   stop(): Promise<void>;
+  /** Gives up the scheduler's role, if this process holds it. */
+  resign(): Promise<void>;
   /** Stops at once without resigning, like a killed process. */
   kill(): void;
 }
@@ -216,8 +219,15 @@
   }
 
   const onError = logFailure(logs.host, 'a request or a background loop');
+  const runHandOvers = makeHandOvers({
+    clock,
+    log: logs.host,
+    peers,
+    isTermCalm: () => !isDraining && termHolder.isCalm(),
+    betterMember: candidacy.betterMember,
+    resign,
+  });
 
-  /** Gives up the scheduler's role, if this process holds it. */
   function resign(): Promise<void> {
     const resignation = leadership.resign(resignTimeoutMs);
     termHolder.stop();
@@ -232,6 +242,7 @@
 
   return {
     kill,
+    resign,
 
     async start() {
       servers = await Promise.all([
@@ -261,24 +272,10 @@
         ),
       ]);
       logs.host.info('started', { event: 'start', ...self });
-      const loops = [
-        operatorState.run(shutdown.signal),
-        membership.run(shutdown.signal),
-        leadership.run(shutdown.signal),
-        schedulerMonitor.run(shutdown.signal),
-        runHandOvers(
-          {
-            clock,
-            log: logs.host,
-            peers,
-            isTermCalm: () => !isDraining && termHolder.isCalm(),
-            betterMember: candidacy.betterMember,
-            resign,
-          },
-          shutdown.signal,
-        ),
-      ];
-      loops.forEach((loop) => loop.catch(onError));
+      const { run: monitor } = schedulerMonitor;
+      const loops = [operatorState.run, membership.run, leadership.run, monitor, runHandOvers];
+      const { signal } = shutdown;
+      loops.forEach((loop) => runForever(loop, { clock, onError, signal }).catch(onError));
     },
 
     async stop() {
--- a/src/host/operator_state.ts
+++ b/src/host/operator_state.ts
@@ -2,8 +2,9 @@
  * The operator state as this process knows it: the configuration and the evacuated data centres. It is
  * read from the store, or from another process while the store does not serve this one.
  */
+import { makeTimeMark } from '../clock/mod.ts';
 import type { Clock } from '../clock/mod.ts';
-import { makeTableWatcher } from '../cell/mod.ts';
+import { forEachRow, makeTableWatcher } from '../cell/mod.ts';
 import type { OperatorState } from '../cell/mod.ts';
 import type { Logger } from '../logs/mod.ts';
 import type { Configuration, Store, StoredRow } from '../model/mod.ts';
@@ -54,7 +55,8 @@
   let configuration: Configuration | undefined;
   let configurationText = '';
   let evacuated = new Set<string>();
-  let peersCurrentAtMs = -Infinity;
+  /** Time at which the view of another process, if it was taken over, was current. */
+  const peersCurrent = makeTimeMark(clock);
 
   function applyConfiguration(value: string): void {
     const newConfiguration = options.decodeConfiguration(value);
@@ -94,12 +96,22 @@
     waitMs: watchTimeoutMs,
     onRows(rows, isWhole) {
       if (isWhole) evacuated = new Set();
-      rows.forEach(applyRow);
+      forEachRow(rows, log, applyRow);
     },
   });
 
   function currentAtMs(): number {
-    return Math.max(watcher.currentAtMs() ?? -Infinity, peersCurrentAtMs);
+    return Math.max(watcher.currentAtMs() ?? -Infinity, peersCurrent.atMs() ?? -Infinity);
+  }
+
+  /** Applies another process's view; its evacuations only if it is more recent than the own view. */
+  function applyMessage(message: OperatorStateMessage, requestedAtMs: number): void {
+    if (message.configuration !== '') applyConfiguration(message.configuration);
+    const messageCurrentAtMs = requestedAtMs - message.ageMs;
+    if (configuration && message.version < configuration.version) return;
+    if (messageCurrentAtMs <= currentAtMs()) return;
+    evacuated = new Set(message.evacuated);
+    peersCurrent.record(messageCurrentAtMs);
   }
 
   async function pollPeersWhenStale(signal: AbortSignal): Promise<void> {
@@ -108,11 +120,7 @@
       const requestedAtMs = clock.now();
       if (requestedAtMs - currentAtMs() < staleAfterMs) continue;
       const message = await fetchFromPeers();
-      if (!message) continue;
-      if (message.configuration !== '') applyConfiguration(message.configuration);
-      if (configuration && message.version < configuration.version) continue;
-      evacuated = new Set(message.evacuated);
-      peersCurrentAtMs = Math.max(peersCurrentAtMs, requestedAtMs - message.ageMs);
+      if (message) applyMessage(message, requestedAtMs);
     }
   }
 
--- a/src/host/peer_group.ts
+++ b/src/host/peer_group.ts
@@ -14,7 +14,7 @@
 export interface PeerGroup {
   /** Relays a client's request. */
   relay(request: ClientRequest): Outcome<ClientResponse>;
-  /** Gets the operator state from several processes and returns the newest. */
+  /** Gets the operator state from several processes and returns the most recent view. */
   fetchOperatorState(): Promise<OperatorStateMessage | undefined>;
 }
 
@@ -62,7 +62,7 @@
         members.map(({ address }) => peers.fetchOperatorState(address)),
       );
       const messages = responses.flatMap((response) => response.toMaybe().toList());
-      return messages.sort((a, b) => b.version - a.version || a.ageMs - b.ageMs)[0];
+      return messages.sort((a, b) => a.ageMs - b.ageMs || b.version - a.version)[0];
     },
   };
 }
--- a/src/scheduler/_ranking.ts
+++ b/src/scheduler/_ranking.ts
@@ -8,8 +8,8 @@
 import { ensureSteps, getOccurrenceCount } from './jobs.ts';
 import { compareRanks, computeRank, Urgency } from './rank.ts';
 import type { Rank } from './rank.ts';
-import { getQueueTerms } from './pass.ts';
-import type { ConfigurationIndex, DecisionInputs } from './pass.ts';
+import { getQueueTerms, guardJob } from './pass.ts';
+import type { ConfigurationIndex, DecisionFailure, DecisionInputs } from './pass.ts';
 import type { CellState, Job, Step } from './state.ts';
 
 /** Interval at which a too-late job is considered. */
@@ -93,13 +93,14 @@
  * Ranks the ready steps of all jobs, except for too-late jobs that were considered recently.
  *
  * @example
- * const { steps } = rankSteps(state, configurationIndex, inputs);
+ * const { steps } = rankSteps(state, configurationIndex, inputs, failures);
  * steps[Urgency.InTime].forEach(place);
  */
 export function rankSteps(
   state: CellState,
   configurationIndex: ConfigurationIndex,
   inputs: DecisionInputs,
+  failures: DecisionFailure[],
 ): RankedSteps {
   const ranked: Record<Urgency, RankedStep[]> = {
     [Urgency.InTime]: [],
@@ -115,7 +116,11 @@
     tooLate.push(job);
   }
   function addRanked(job: Job): void {
-    const steps = rankReadySteps(job, configurationIndex, inputs);
+    if (job.setAsideUntilMs > inputs.nowMs) return;
+    const steps = guardJob({ failures }, { job, nowMs: inputs.nowMs }, () =>
+      rankReadySteps(job, configurationIndex, inputs),
+    );
+    if (!steps) return;
     steps.forEach((rankedStep) => ranked[rankedStep.rank.urgency].push(rankedStep));
     if (isTooLate(job, steps)) markTooLate(job);
     else if (job.state === JobState.Queued) freshJobCount += 1;
--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -10,7 +10,7 @@
  * tried.
  */
 import { Urgency } from './rank.ts';
-import { HoldReason, recordHold } from './pass.ts';
+import { guardJob, HoldReason, recordHold } from './pass.ts';
 import type { DecisionInputs, Decisions, Pass } from './pass.ts';
 import { placeStep } from './_place_step.ts';
 import { rankSteps } from './_ranking.ts';
@@ -21,9 +21,17 @@
 /** Maximum number of too-late steps that a pass tries to place. */
 const maxTooLateAttempts = 24;
 
+function tryPlaceStep(pass: Pass, step: Step, isLimitedToShare: boolean): HoldReason | undefined {
+  const { job } = step;
+  if (job.setAsideUntilMs > pass.nowMs) return undefined;
+  return guardJob(pass.decisions, { job, nowMs: pass.nowMs }, () =>
+    placeStep(pass, step, isLimitedToShare),
+  );
+}
+
 function placeSteps(pass: Pass, steps: Step[], isLimitedToShare: boolean): void {
   steps.forEach((step) => {
-    const reason = placeStep(pass, step, isLimitedToShare);
+    const reason = tryPlaceStep(pass, step, isLimitedToShare);
     if (reason !== undefined) recordHold(pass, step.job, reason);
   });
 }
@@ -36,7 +44,7 @@
   const leastRecentFirst = [...steps].sort((a, b) => a.lastTriedAtMs - b.lastTriedAtMs);
   let triedCount = 0;
   for (const step of leastRecentFirst) {
-    const reason = placeStep(pass, step, false);
+    const reason = tryPlaceStep(pass, step, false);
     if (reason !== undefined) recordHold(pass, step.job, reason);
     if (reason === undefined || reason === HoldReason.Room) {
       step.lastTriedAtMs = pass.nowMs;
@@ -70,6 +78,7 @@
     starts: [],
     tooLate: [],
     adviceRequests: [],
+    failures: [],
     held: { limit: 0, share: 0, room: 0, adviceSlot: 0, advicePending: 0, notAllowed: 0 },
   };
   const pass: Pass<Slot> = {
@@ -83,7 +92,12 @@
     shares: computeFairShares(state, configuration, schedulable),
     decisions,
   };
-  const { steps, freshJobCount, tooLate } = rankSteps(state, configurationIndex, inputs);
+  const { steps, freshJobCount, tooLate } = rankSteps(
+    state,
+    configurationIndex,
+    inputs,
+    decisions.failures,
+  );
   decisions.tooLate = tooLate;
   [Urgency.InTime, Urgency.Late].forEach((urgency) => {
     placeSteps(pass, steps[urgency], true);
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -74,6 +74,7 @@
     ),
     occurrences: new Map(),
     skipUntilMs: -Infinity,
+    setAsideUntilMs: -Infinity,
     wait: makeWait(acceptedAtMs),
   };
   state.jobs.set(accepted.id, job);
--- a/src/scheduler/pass.ts
+++ b/src/scheduler/pass.ts
@@ -33,6 +33,35 @@
   /** Jobs without any start that were found to be too late for the first time. */
   tooLate: Job[];
   adviceRequests: PendingAdviceRequest<Slot>[];
+  /** Jobs that were set aside because deciding about them failed. */
+  failures: DecisionFailure[];
+}
+
+/** A job about which no decision could be made. */
+export interface DecisionFailure {
+  job: Job;
+  error: unknown;
+}
+
+/** Time for which a job is set aside after a decision about it has failed. */
+const setAsideMs = 5_000;
+
+/**
+ * Runs a decision about one job. If it throws, which only a defect or a malformed job causes, the job is
+ * set aside for a while, so that the other jobs are not affected.
+ */
+export function guardJob<Result>(
+  { failures }: Pick<Decisions, 'failures'>,
+  { job, nowMs }: { job: Job; nowMs: number },
+  decide: () => Result,
+): Result | undefined {
+  try {
+    return decide();
+  } catch (error) {
+    Object.assign(job, { setAsideUntilMs: nowMs + setAsideMs });
+    failures.push({ job, error });
+    return undefined;
+  }
 }
 
 /** The inputs of a pass, apart from the state. */
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -121,6 +121,8 @@
   occurrences: Map<number, Step[]>;
   /** Monotonic time before which passes skip the job because it is too late. */
   skipUntilMs: number;
+  /** Monotonic time before which passes skip the job because a decision about it failed. */
+  setAsideUntilMs: number;
   /** Wait for its first start; undefined once that start was decided. */
   wait: Wait | undefined;
   /** Monotonic time at which it reached a terminal state; its rows are kept for a while longer. */
