Let a new scheduler accept the connections of a large fleet

Ruled out: processor time (0.70 of 1.35 cores), the link, the passes (3 ms each), the store (20 to 40 ms).

Each process listens for its peers on up to 8 ports, and each of the others uses one of them; 6 connections to a peer instead of 16; two batches of a kind in flight instead of three; a process that is no candidate has one ping in flight. Malformed accepted jobs are rejected when they are decoded, as one without terms ended each term that loaded it.

--- a/src/cell/_job_rows.ts
+++ b/src/cell/_job_rows.ts
@@ -5,9 +5,10 @@
 
 import type { Outcome } from '../errors/mod.ts';
 import { isTerminalState } from '../model/mod.ts';
-import type { AcceptedJob, Store, StoredRow, VersionedRows } from '../model/mod.ts';
+import type { Store, StoredRow, VersionedRows } from '../model/mod.ts';
 import { addEndedJob, addJob, restoreProgress, listRuns } from '../scheduler/mod.ts';
 import type { JobRecord } from '../scheduler/mod.ts';
+import { decodeAcceptedJob } from './_accepted_job.ts';
 import type { RunEndHandler } from './_run_end_handler.ts';
 import {
   acceptedTable,
@@ -59,7 +60,7 @@
     knownJob.hasEntryRows ||= hasEntryRows;
     return;
   }
-  const accepted = JSON.parse(row.value) as AcceptedJob;
+  const accepted = decodeAcceptedJob(row);
   const ageMs = Math.max(0, clock.wallTime() - accepted.acceptedAtMs);
   addJob(state, accepted, clock.now() - ageMs).hasEntryRows = hasEntryRows;
   log.info('job found', {
--- a/src/cell/mod.ts
+++ b/src/cell/mod.ts
@@ -8,5 +8,6 @@
 export * from './members.ts';
 export * from './service.ts';
 export * from './term.ts';
+export { isAcceptedJob } from './_accepted_job.ts';
 export type { TermOptions, OperatorState } from './_term_state.ts';
 export { acceptedRow, cancellationRow, claimRow, jobRow, progressRow } from './rows.ts';
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -35,7 +35,7 @@
 import { makeMembership } from './membership.ts';
 import { makeOwnMember } from './own_member.ts';
 import { makePeerGroup } from './peer_group.ts';
-import { makePeerClient, servePeers } from './peers.ts';
+import { choosePortOffset, makePeerClient, servePeers } from './peers.ts';
 import { makeSchedulerHints } from './scheduler_hints.ts';
 import { makeSchedulerMonitor } from './scheduler_monitor.ts';
 import { runForever } from './run_forever.ts';
@@ -73,6 +73,7 @@
 const drainPollMs = 50;
 const graceMarginMs = 900;
 const resignTimeoutMs = 2_000;
+const maxPeerPorts = 8;
 
 /**
  * Makes an entry process.
@@ -88,7 +89,8 @@
   const shutdown = new AbortController();
   const ownMember = makeOwnMember(settings, clock);
   const { initial: self } = ownMember;
-  const peers = makePeerClient(clock);
+  const peerPorts = Math.min(settings.peerPorts, maxPeerPorts);
+  const peers = makePeerClient(clock, { portOffset: choosePortOffset(self.name, peerPorts) });
   let servers: Awaited<ReturnType<typeof listen>>[] = [];
   // Set below: the election depends on the parts that read the claim from here.
   const election: { leadership?: Leadership; candidacy?: Candidacy } = {};
@@ -245,7 +247,7 @@
     resign,
 
     async start() {
-      servers = await Promise.all([
+      const [callers, readiness, peerServers] = await Promise.all([
         listen({
           address: settings.listen.callers,
           maxBodyBytes: () =>
@@ -260,7 +262,7 @@
           onError,
         }),
         servePeers(
-          self.address,
+          { address: self.address, ports: peerPorts },
           {
             instance: () => (isDraining ? '' : self.instance),
             advise,
@@ -271,6 +273,7 @@
           onError,
         ),
       ]);
+      servers = [callers, readiness, ...peerServers];
       logs.host.info('started', { event: 'start', ...self });
       const { run: monitor } = schedulerMonitor;
       const loops = [operatorState.run, membership.run, leadership.run, monitor, runHandOvers];
--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -5,7 +5,7 @@
 
 import { isNoResponse, makeJsonClient } from '../calls/mod.ts';
 import type { JsonClient } from '../calls/mod.ts';
-import { SubmitResult } from '../cell/mod.ts';
+import { isAcceptedJob, SubmitResult } from '../cell/mod.ts';
 import type { SchedulerService } from '../cell/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { ErrorKind, failWith } from '../errors/mod.ts';
@@ -68,8 +68,9 @@
 
 const serverErrorStatus = 500;
 const unavailableStatus = 503;
-const connectionsPerPeer = 16;
-const pingConnectionsPerPeer = 5;
+/** Each connection has to be accepted by a new scheduler, which takes one at a time. */
+const connectionsPerPeer = 6;
+const pingConnectionsPerPeer = 4;
 const relayTimeoutMs = 1_300;
 const operatorStateTimeoutMs = 500;
 const schedulerTimeoutMs = 1_600;
@@ -81,17 +82,45 @@
   return { status, body: JSON.stringify(value ?? {}) };
 }
 
+/** Returns the address with a port that is higher by the offset. */
+function shiftPort(address: string, offset: number): string {
+  const [host = '', port = ''] = address.split(':');
+  return `${host}:${Number(port) + offset}`;
+}
+
+/** Chooses the port that a process uses at the others, so that processes spread over the ports. */
+export function choosePortOffset(name: string, ports: number): number {
+  return [...name].reduce((offset, letter) => (offset * 31 + letter.charCodeAt(0)) % ports, 0);
+}
+
+const isString = (value: unknown): value is string => typeof value === 'string';
+
+/** Parses a list of values; undefined if the text is malformed or a value is of another type. */
+function parseList<Value>(
+  text: string,
+  isValue: (value: unknown) => value is Value,
+): Value[] | undefined {
+  try {
+    const values: unknown = JSON.parse(text);
+    return Array.isArray(values) && values.every(isValue) ? values : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 /**
- * Serves the requests of other processes.
+ * Serves the requests of other processes on several consecutive ports. Node accepts one connection of
+ * a listener in each turn of the event loop, which is too slow for the connections of a large fleet to
+ * a new scheduler.
  *
  * @example
- * const server = await servePeers('10.0.0.7:7420', service, onError);
+ * const servers = await servePeers({ address: '10.0.0.7:7420', ports: 8 }, service, onError);
  */
 export function servePeers(
-  address: string,
+  { address, ports }: { address: string; ports: number },
   service: PeerService,
   onError: (error: unknown) => void,
-): Promise<HttpServer> {
+): Promise<HttpServer[]> {
   /** Serves the requests to the scheduler; undefined for other paths. */
   async function handleSchedulerRequest({
     path,
@@ -99,16 +128,19 @@
   }: HttpRequest): Promise<HttpResponse | undefined> {
     const scheduler = service.scheduler();
     if (path === '/submit') {
-      const jobs = JSON.parse(body) as AcceptedJob[];
+      const jobs = parseList(body, isAcceptedJob);
+      if (!jobs) return respondJson(400, { message: 'expected a list of accepted jobs' });
       const outcomes = jobs.map((job) => scheduler?.submit(job) ?? SubmitResult.NotTaken);
       return respondJson(200, { results: await Promise.all(outcomes) });
     }
     if (path === '/states') {
-      const ids = JSON.parse(body) as string[];
+      const ids = parseList(body, isString);
+      if (!ids) return respondJson(400, { message: 'expected a list of ids' });
       return respondJson(200, { results: ids.map((id) => scheduler?.getStoredState(id) ?? null) });
     }
     if (path === '/cancel') {
-      const ids = JSON.parse(body) as string[];
+      const ids = parseList(body, isString);
+      if (!ids) return respondJson(400, { message: 'expected a list of ids' });
       return respondJson(200, {
         results: await Promise.all(ids.map((id) => scheduler?.cancel(id) ?? false)),
       });
@@ -144,17 +176,26 @@
     }
     return respondJson(404, {});
   }
-  return listen({ address, maxBodyBytes: () => maxBodyBytes, handle, onError });
+  return Promise.all(
+    Array.from({ length: ports }, (_, index) =>
+      listen({
+        address: shiftPort(address, index),
+        maxBodyBytes: () => maxBodyBytes,
+        handle,
+        onError,
+      }),
+    ),
+  );
 }
 
 /**
- * Makes a client of other processes.
+ * Makes a client of other processes, which uses one of the ports on which each of them listens.
  *
  * @example
- * const peers = makePeerClient(systemClock);
+ * const peers = makePeerClient(systemClock, { portOffset: choosePortOffset('host-7', 8) });
  * await peers.ping('10.0.0.8:7420', 350);
  */
-export function makePeerClient(clock: Clock): PeerClient {
+export function makePeerClient(clock: Clock, { portOffset }: { portOffset: number }): PeerClient {
   const clients = new Map<string, JsonClient>();
 
   // Pings have connections of their own, so that they do not queue behind other requests.
@@ -166,7 +207,7 @@
   ): JsonClient {
     const existing = cache.get(address);
     if (existing) return existing;
-    const client = makeJsonClient(address, { connections, clock });
+    const client = makeJsonClient(shiftPort(address, portOffset), { connections, clock });
     cache.set(address, client);
     return client;
   }
--- a/src/host/peers_test.ts
+++ b/src/host/peers_test.ts
@@ -20,7 +20,10 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
-  const result = await makePeerClient(systemClock).submit(`127.0.0.1:${port}`, []);
+  const result = await makePeerClient(systemClock, { portOffset: 0 }).submit(
+    `127.0.0.1:${port}`,
+    [],
+  );
   server.close();
   return result.swap().toMaybe().extract()?.kind;
 }
--- a/src/host/scheduler_client.ts
+++ b/src/host/scheduler_client.ts
@@ -42,7 +42,8 @@
 const backOffMs = 400;
 const claimCheckIntervalMs = 100;
 const maxRequestsPerBatch = 60;
-const maxBatchesInFlight = 3;
+/** While these are in flight, further requests of the same kind join the next batch. */
+const maxBatchesInFlight = 2;
 
 /**
  * Makes a record of the requests in flight.
--- a/src/host/scheduler_monitor.ts
+++ b/src/host/scheduler_monitor.ts
@@ -59,6 +59,8 @@
 const otherPingIntervalMs = 500;
 const pingTimeoutMs = 1_000;
 const maxPingsInFlight = 4;
+/** Other processes add few connections to those that a busy scheduler has to accept. */
+const maxOtherPingsInFlight = 1;
 /** Bounds the time that a check adds: a process that has been paused did not wait for responses. */
 const maxCheckedMs = 2 * checkIntervalMs;
 /** A scheduler that has not responded for this long gets no requests. */
@@ -159,8 +161,10 @@
     if (silentMs > unresponsiveAfterMs || storeFailingMs > storeFailingAfterMs) {
       leadership.reportUnresponsive(claim.instance);
     }
-    const pingIntervalMs = isCandidate() ? candidatePingIntervalMs : otherPingIntervalMs;
-    if (sincePingMs < pingIntervalMs || pingsInFlight >= maxPingsInFlight) return;
+    const [pingIntervalMs, maxInFlight] = isCandidate()
+      ? [candidatePingIntervalMs, maxPingsInFlight]
+      : [otherPingIntervalMs, maxOtherPingsInFlight];
+    if (sincePingMs < pingIntervalMs || pingsInFlight >= maxInFlight) return;
     ping(claim, observation).catch(logFailure(log, 'a ping of the scheduler'));
   }
 
