Send nothing to a new scheduler before it has responded to a ping

After a claim each process pings the scheduler, one ping at a time, and stores jobs itself until the first response.

--- a/src/host/scheduler_monitor.ts
+++ b/src/host/scheduler_monitor.ts
@@ -16,7 +16,10 @@
   run(signal: AbortSignal): Promise<void>;
   /** The claim of the scheduler; undefined if this process is the scheduler or there is none. */
   remoteClaim(): Claim | undefined;
-  /** Whether the scheduler has responded to a recent ping; true while none is needed. */
+  /**
+   * Whether the scheduler has responded to a ping of its term, and to a recent one if any was needed.
+   * Until then requests would only wait in its queue of connections.
+   */
   isResponsive(): boolean;
 }
 
@@ -45,6 +48,8 @@
 /** What the pings to one scheduler have shown. */
 interface Observation {
   instance: string;
+  /** Whether it has responded at all; a new scheduler first has to load and to accept connections. */
+  hasResponded: boolean;
   /** Time since its last response, as far as this process was running itself. */
   silentMs: number;
   /** Time since the store began to fail it; 0 while the store serves it. */
@@ -81,6 +86,7 @@
 function makeObservation(instance: string): Observation {
   return {
     instance,
+    hasResponded: false,
     silentMs: 0,
     storeFailingMs: 0,
     pingsInFlight: 0,
@@ -110,7 +116,8 @@
   function needsPings(): boolean {
     const heartbeat = leadership.heartbeat();
     const isLate = !heartbeat || clock.now() - heartbeat.seenAtMs > lateHeartbeatMs;
-    return isCandidate() || isLate || oldestRequestMs() > slowRequestMs;
+    const isWaiting = isLate || oldestRequestMs() > slowRequestMs;
+    return isCandidate() || isWaiting || !observation.hasResponded;
   }
 
   /** Pings again before it reports, since the store may just have recovered for this process first. */
@@ -124,7 +131,8 @@
   }
 
   async function recordResponse(claim: Claim, observed: Observation, result: PingResult) {
-    Object.assign(observed, { silentMs: 0, storeFailingMs: result.storeFailingMs });
+    const { storeFailingMs } = result;
+    Object.assign(observed, { hasResponded: true, silentMs: 0, storeFailingMs });
     if (result.storeRejectedMs < rejectedAfterMs || observed.isConfirmingRejection) return;
     Object.assign(observed, { isConfirmingRejection: true });
     await confirmRejection(claim);
@@ -152,10 +160,11 @@
   }
 
   function check(claim: Claim, elapsedMs: number): void {
-    if (observation.instance !== claim.instance || !needsPings()) {
-      observation = makeObservation(claim.instance);
+    if (observation.instance !== claim.instance) observation = makeObservation(claim.instance);
+    if (!needsPings()) {
+      observation = { ...makeObservation(claim.instance), hasResponded: true };
+      return;
     }
-    if (!needsPings()) return;
     addElapsedTime(elapsedMs);
     const { silentMs, storeFailingMs, sincePingMs, pingsInFlight } = observation;
     if (silentMs > unresponsiveAfterMs || storeFailingMs > storeFailingAfterMs) {
@@ -171,7 +180,9 @@
   return {
     remoteClaim,
     isResponsive: () =>
-      observation.instance !== remoteClaim()?.instance || observation.silentMs < silentAfterMs,
+      observation.instance === remoteClaim()?.instance &&
+      observation.hasResponded &&
+      observation.silentMs < silentAfterMs,
     async run(signal) {
       let checkedAtMs = clock.now();
       while (!signal.aborted) {
