--- a/src/cell/_start_conditions.ts
+++ b/src/cell/_start_conditions.ts
@@ -2,7 +2,7 @@
  * Conditions of a start that may change between its decision and each time that its order is sent: the
  * order waits for the store first, and it is sent again for as long as there is no response.
  */
-import { fits } from '../model/mod.ts';
+import { fits, toUpperBound } from '../model/mod.ts';
 import type { Resources } from '../model/mod.ts';
 import type { Run, Worker } from '../scheduler/mod.ts';
 import type { Term } from './_term_state.ts';
@@ -26,13 +26,7 @@
 export const maxOperatorStateAgeMs = 1_700;
 
 function isWithin(usage: Resources | undefined, upperLimit: Resources | undefined): boolean {
-  if (!usage || !upperLimit) return true;
-  const toBound = (limit: number) => (limit === 0 ? Infinity : limit);
-  return fits(usage, {
-    cpu: toBound(upperLimit.cpu),
-    memoryMb: toBound(upperLimit.memoryMb),
-    gpu: toBound(upperLimit.gpu),
-  });
+  return !usage || !upperLimit || fits(usage, toUpperBound(upperLimit));
 }
 
 /**
--- a/src/model/resources.ts
+++ b/src/model/resources.ts
@@ -68,3 +68,14 @@
   ];
   return Math.floor(Math.min(...ratios));
 }
+
+/**
+ * Returns the amounts that an upper limit allows: an amount of 0 means that there is no limit.
+ *
+ * @example
+ * toUpperBound({ cpu: 4_000, memoryMb: 0, gpu: 0 }).memoryMb; // Infinity
+ */
+export function toUpperBound({ cpu, memoryMb, gpu }: Resources): Resources {
+  const toBound = (limit: number) => (limit === 0 ? Infinity : limit);
+  return { cpu: toBound(cpu), memoryMb: toBound(memoryMb), gpu: toBound(gpu) };
+}
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -15,6 +15,7 @@
   fits,
   noResources,
   subtractResources,
+  toUpperBound,
 } from '../model/mod.ts';
 import type { Resources } from '../model/mod.ts';
 import { getTaskAllocation } from './resource_accounting.ts';
@@ -187,12 +188,7 @@
   upperLimit: Resources | undefined,
 ): number {
   if (!upperLimit) return Infinity;
-  const toBound = (limit: number) => (limit === 0 ? Infinity : limit);
-  const limit = {
-    cpu: toBound(upperLimit.cpu),
-    memoryMb: toBound(upperLimit.memoryMb),
-    gpu: toBound(upperLimit.gpu),
-  };
+  const limit = toUpperBound(upperLimit);
   const { need } = step.spec;
   const used = usage ?? noResources;
   if (!fits(addResources(used, need), limit)) return 0;
