--- a/src/cell/batch_writer_test.ts
+++ b/src/cell/batch_writer_test.ts
@@ -7,7 +7,7 @@
 import { makeFakeStore } from '../testing/fake_store.ts';
 import type { TransactionOutcome, FakeStore } from '../testing/fake_store.ts';
 import { makeBatchWriter } from './batch_writer.ts';
-import { progressRow, sequenceRow } from './rows.ts';
+import { heartbeatRow, progressRow, sequenceRow } from './rows.ts';
 
 const test = suite('batch writer');
 
@@ -49,6 +49,28 @@
   assert.is(versions[0], versions[1]);
 });
 
+test('a heartbeat does not wait behind a backlog of other rows', async () => {
+  const store = makeFakeStore();
+  const { writer } = await claimAndOpen(store);
+  const keys = Array.from({ length: 200 }, (_, index) => `j${index}`);
+  keys.forEach((key) => writer.markDirty(progressRow(key), () => 'x'));
+  writer.markDirtyFirst(heartbeatRow, () => 'beat');
+  assert.ok(await writer.flush());
+  const getVersion = (name: string) =>
+    [...store.rows.values()].find(({ key }) => key === name)!.version;
+  assert.is(getVersion('heartbeat'), getVersion('j0'), 'it is in the first transaction');
+  assert.ok(getVersion('j199') > getVersion('j0'));
+});
+
+test('an error while a transaction is built ends the term, and nothing counts as stored', async () => {
+  const { writer, state } = await claimAndOpen(makeFakeStore());
+  writer.markDirty(progressRow('j1'), () => {
+    throw new Error('unexpected');
+  });
+  assert.is(await writer.flush(), false);
+  assert.ok(state.deposed);
+});
+
 test('a flush waits for its rows even if one is marked again before it is written', async () => {
   const inner = makeFakeStore();
   const store: FakeStore = {
