--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -109,6 +109,7 @@
         worker.isResponsive = false;
       },
       onFenced: () => term.end('a worker has seen a higher fencing token'),
+      onError: logFailure(log, 'the report of a worker'),
     });
     links.set(id, { link, controller });
     link.run(controller.signal).catch(logFailure(log, 'a worker link'));
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -42,6 +42,8 @@
   onReport(report: WorkerReport, sentAtMs: number): Promise<boolean>;
   onRenewalFailed(rejection: Rejection): void;
   onFenced(): void;
+  /** Called when handling a report throws; the link goes on. */
+  onError(error: unknown): void;
 }
 
 const busyRenewalWaitMs = 1_000;
@@ -123,12 +125,22 @@
     await clock.sleep(retryDelayMs);
   }
 
+  /** Renews once. An unexpected error in one report must not let all leases on the worker expire. */
+  async function tryRenewLease(): Promise<void> {
+    try {
+      await renewLease();
+    } catch (error) {
+      options.onError(error);
+      await clock.sleep(retryDelayMs);
+    }
+  }
+
   return {
     leaseUntilMs,
     leasesExpireAtMs: () => leasesExpireAtMs,
     async run(signal) {
       while (!signal.aborted) {
-        if (options.mayRenew()) await renewLease();
+        if (options.mayRenew()) await tryRenewLease();
         else await clock.sleep(retryDelayMs, signal);
       }
     },
--- a/src/cell/worker_link_test.ts
+++ b/src/cell/worker_link_test.ts
@@ -25,6 +25,8 @@
     neverStores: false,
     mayRenew: true,
     reportedAtMs: 0,
+    failsOnce: false,
+    errors: 0,
   };
   let nowMs = 0;
   const clock: Clock = {
@@ -59,6 +61,10 @@
     mayRenew: () => state.mayRenew,
     onReport() {
       state.reportedAtMs = nowMs;
+      if (state.failsOnce) {
+        state.failsOnce = false;
+        throw new Error('unexpected');
+      }
       return state.neverStores ? neverSettled : Promise.resolve(state.stored);
     },
     isBusy: () => true,
@@ -66,6 +72,9 @@
     onFenced() {
       state.fenced = true;
     },
+    onError() {
+      state.errors += 1;
+    },
   });
   return { link, renewals, state, run: () => link.run(abort.signal), nowMs: () => nowMs };
 }
@@ -92,6 +101,15 @@
   assert.is(link.leaseUntilMs(), undefined, 'no start may be sent with a lease');
 });
 
+test('an error while one report is handled does not let the leases on the worker expire', async () => {
+  const { renewals, state, run } = setUp([report(0), report(100), report(200)]);
+  state.failsOnce = true;
+  await run();
+  assert.is(state.errors, 1);
+  assert.is(renewals.length, 3);
+  assert.ok(renewals.slice(1).every(({ leaseUntilMs }) => leaseUntilMs !== undefined));
+});
+
 test('ends are confirmed to the worker only after they have been stored', async () => {
   const { renewals, state, run } = setUp([
     report(0, { ended: [ended(3)] }),
--- a/src/host/peers.ts
+++ b/src/host/peers.ts
@@ -121,6 +121,12 @@
   service: PeerService,
   onError: (error: unknown) => void,
 ): Promise<HttpServer[]> {
+  function rejectMalformed(path: string, expected: string): HttpResponse {
+    const message = `${path}: expected ${expected}`;
+    onError(new Error(message));
+    return respondJson(400, { message });
+  }
+
   /** Serves the requests to the scheduler; undefined for other paths. */
   async function handleSchedulerRequest({
     path,
@@ -129,18 +135,18 @@
     const scheduler = service.scheduler();
     if (path === '/submit') {
       const jobs = parseList(body, isAcceptedJob);
-      if (!jobs) return respondJson(400, { message: 'expected a list of accepted jobs' });
+      if (!jobs) return rejectMalformed(path, 'a list of accepted jobs');
       const outcomes = jobs.map((job) => scheduler?.submit(job) ?? SubmitResult.NotTaken);
       return respondJson(200, { results: await Promise.all(outcomes) });
     }
     if (path === '/states') {
       const ids = parseList(body, isString);
-      if (!ids) return respondJson(400, { message: 'expected a list of ids' });
+      if (!ids) return rejectMalformed(path, 'a list of ids');
       return respondJson(200, { results: ids.map((id) => scheduler?.getStoredState(id) ?? null) });
     }
     if (path === '/cancel') {
       const ids = parseList(body, isString);
-      if (!ids) return respondJson(400, { message: 'expected a list of ids' });
+      if (!ids) return rejectMalformed(path, 'a list of ids');
       return respondJson(200, {
         results: await Promise.all(ids.map((id) => scheduler?.cancel(id) ?? false)),
       });
--- a/src/host/peers_test.ts
+++ b/src/host/peers_test.ts
@@ -6,7 +6,9 @@
 
 import { systemClock } from '../clock/mod.ts';
 import { ErrorKind } from '../errors/mod.ts';
-import { makePeerClient } from './peers.ts';
+import { makeConnectionPool } from '../exchange/mod.ts';
+import { makePeerClient, servePeers } from './peers.ts';
+import type { PeerService } from './peers.ts';
 
 const test = suite('requests between entry processes');
 
@@ -34,4 +36,47 @@
   assert.is(await submitAndGetErrorKind(413), ErrorKind.PeerUnavailable);
 });
 
+/** Returns a port on which nothing listens. */
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+test('a malformed request between processes is refused and reported, and the next one is served', async () => {
+  const address = `127.0.0.1:${await findFreePort()}`;
+  const errors: unknown[] = [];
+  const servers = await servePeers(
+    { address, ports: 1 },
+    { instance: () => 'a-1', scheduler: () => undefined } as Partial<PeerService> as PeerService,
+    (error) => errors.push(error),
+  );
+  const [ip = '', port] = address.split(':');
+  const pool = makeConnectionPool({ address: ip, port: Number(port), clock: systemClock });
+  const send = async (path: string, body: string) => {
+    const response = await pool.exchange({ method: 'POST', path, body, timeoutMs: 1_000 });
+    return response.map(({ status }) => status).orDefault(0);
+  };
+  const malformed = ['{', 'null', '{}', '[null]', '[5]', '[{"id":"a"}]'];
+  const statuses = await Promise.all(
+    ['/submit', '/states', '/cancel'].flatMap((path) => malformed.map((body) => send(path, body))),
+  );
+  assert.ok(
+    statuses.every((status) => status === 400),
+    String(statuses),
+  );
+  assert.is(errors.length, statuses.length);
+  assert.is(await send('/states', '["a"]'), 200);
+  const ping = await makePeerClient(systemClock, { portOffset: 0 }).ping(address, 1_000);
+  assert.is(ping.instance, 'a-1');
+  await pool.close();
+  servers.forEach((server) => server.close());
+});
+
 test.run();
--- a/src/host/scheduler_monitor.ts
+++ b/src/host/scheduler_monitor.ts
@@ -47,7 +47,9 @@
 
 /** What the pings to one scheduler have shown. */
 interface Observation {
+  /** The claim of the scheduler; a process may claim again under the same instance. */
   instance: string;
+  epoch: number;
   /** Whether it has responded at all; a new scheduler first has to load and to accept connections. */
   hasResponded: boolean;
   /** Time since its last response, as far as this process was running itself. */
@@ -83,9 +85,10 @@
 /** ... and still does after this delay, since a store that recovers serves some processes first. */
 const rejectionConfirmDelayMs = 120;
 
-function makeObservation(instance: string): Observation {
+function makeObservation({ instance, epoch }: Pick<Claim, 'instance' | 'epoch'>): Observation {
   return {
     instance,
+    epoch,
     hasResponded: false,
     silentMs: 0,
     storeFailingMs: 0,
@@ -105,7 +108,7 @@
 export function makeSchedulerMonitor(options: SchedulerMonitorOptions): SchedulerMonitor {
   const { clock, log, peers, leadership, isStoreServing, isCandidate, oldestRequestMs, self } =
     options;
-  let observation = makeObservation('');
+  let observation = makeObservation({ instance: '', epoch: 0 });
 
   function remoteClaim(): Claim | undefined {
     const claim = leadership.claim();
@@ -113,6 +116,10 @@
     return isOther ? claim : undefined;
   }
 
+  function isObserved(claim: Claim | undefined): boolean {
+    return observation.instance === claim?.instance && observation.epoch === claim.epoch;
+  }
+
   function needsPings(): boolean {
     const heartbeat = leadership.heartbeat();
     const isLate = !heartbeat || clock.now() - heartbeat.seenAtMs > lateHeartbeatMs;
@@ -160,9 +167,9 @@
   }
 
   function check(claim: Claim, elapsedMs: number): void {
-    if (observation.instance !== claim.instance) observation = makeObservation(claim.instance);
+    if (!isObserved(claim)) observation = makeObservation(claim);
     if (!needsPings()) {
-      observation = { ...makeObservation(claim.instance), hasResponded: true };
+      observation = { ...makeObservation(claim), hasResponded: true };
       return;
     }
     addElapsedTime(elapsedMs);
@@ -180,9 +187,7 @@
   return {
     remoteClaim,
     isResponsive: () =>
-      observation.instance === remoteClaim()?.instance &&
-      observation.hasResponded &&
-      observation.silentMs < silentAfterMs,
+      isObserved(remoteClaim()) && observation.hasResponded && observation.silentMs < silentAfterMs,
     async run(signal) {
       let checkedAtMs = clock.now();
       while (!signal.aborted) {
--- a/src/host/scheduler_monitor_test.ts
+++ b/src/host/scheduler_monitor_test.ts
@@ -32,12 +32,14 @@
   oldestRequestMs?: (nowMs: number) => number;
   /** Whether the scheduler writes heartbeats in time. */
   hasHeartbeats?: boolean;
+  /** Time at which the same process claims again. */
+  claimsAgainAtMs?: number;
 }
 
 /** Runs the monitor and returns its first report of each kind with the time, and the pings sent. */
 async function runMonitor(options: Options) {
   const { respond, runForMs = 3_000, isStoreServing = true, isCandidate = true } = options;
-  const { oldestRequestMs = () => 0, hasHeartbeats = true } = options;
+  const { oldestRequestMs = () => 0, hasHeartbeats = true, claimsAgainAtMs = Infinity } = options;
   const clock = makeVirtualClock();
   const stopped = new AbortController();
   const reports = new Map<string, number>();
@@ -57,7 +59,7 @@
     clock,
     log: silentLogger,
     leadership: {
-      claim: () => claim,
+      claim: () => ({ ...claim, epoch: clock.now() < claimsAgainAtMs ? 1 : 2 }),
       heartbeat: () => ({
         epoch: 1,
         pending: {},
@@ -154,6 +156,21 @@
   assert.equal(reports, {});
 });
 
+test('no request is sent to a process that has claimed again before it has responded in its new term', async () => {
+  const { unresponsiveAtMs } = await runMonitor({
+    respond: (nowMs) => ({
+      result: { ...healthy, epoch: nowMs < 1_500 ? 1 : 2 },
+      afterMs: 1,
+    }),
+    isCandidate: false,
+    claimsAgainAtMs: 1_000,
+  });
+  const afterClaim = unresponsiveAtMs.filter((atMs) => atMs >= 1_000);
+  assert.is(afterClaim[0], 1_000);
+  assert.ok(Math.max(...afterClaim) >= 1_475, 'a response of its former term does not count');
+  assert.ok(Math.max(...afterClaim) <= 2_150);
+});
+
 test('a scheduler without a response is reported within 900 ms of its last one, and gets no requests', async () => {
   const respond = (nowMs: number) => ({ result: healthy, afterMs: nowMs < 900 ? 1 : Infinity });
   const { reports, unresponsiveAtMs } = await runMonitor({ respond });
