--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -15,7 +15,7 @@
   targetLatencyMs: 1_000,
   advice,
 };
-const services = ['ledger', 'desk', 'round'];
+const services = ['ledger', 'desk', 'round', 'pledge', 'door'];
 const options = {
   folder: 'review/3',
   workerCount: 2,
@@ -26,7 +26,7 @@
 };
 const trafficMs = 75_000;
 const intervalMs = 8_000;
-const staggerMs = 2_600;
+const staggerMs = 1_600;
 /** Delay of a small job after the large one of its round. */
 const smallJobDelayMs = 5_000;
 const watchMs = 8_000;
