Bound the stored progress of a job by what of it is unfinished

Cause: the progress row of a job lists each task that ever started, done or not, over all occurrences. It outgrows row_bytes (65,536), and the store never takes the row. Ruled out: a store that is busy (the claims in between succeed at once), a slow scheduler (terms load in 20 to 80 ms).

Change: done tasks and complete occurrences, which never start again, are stored as ranges; a complete occurrence is dropped from memory. Of the same class: occurrences that are all due at once were all opened, so one accepted job with repeat_count 1,000,000 and interval 0 ended the scheduler for want of memory; now a job opens at most 20,000 tasks, or one occurrence. A job has at most 6,000 started tasks, and 150,000 characters of checkpoints are stored, so that the record fits into a transaction. Rows of the former form are still read.

The record of done tasks no longer has their attempts, failures and checkpoints; the test of encoding expected them. It now checks that they stay done, and a new one that a successor starts none of them.

--- a/src/scheduler/_place_step.ts
+++ b/src/scheduler/_place_step.ts
@@ -28,6 +28,12 @@
 import type { CellState, QueueTerms, Run, Step, Worker } from './state.ts';
 import { recordWait } from './waiting.ts';
 
+/**
+ * Maximum number of tasks of a job that are started and not done. With it, the stored progress of a job
+ * fits into one transaction.
+ */
+const maxStartedTasks = 6_000;
+
 /** Lists the indexes of the tasks of a step that wait for a start. */
 function listPendingTasks(step: Step, nowMs: number): number[] {
   const pendingTasks: number[] = [];
@@ -39,6 +45,20 @@
   return pendingTasks;
 }
 
+/** Leaves out tasks whose first start would exceed the maximum of started tasks of the job. */
+function limitFirstStarts({ job, spec, tasks }: Step, pendingTasks: number[]): number[] {
+  const isFirstStart = (index: number) => tasks[index]!.attempt === 0;
+  let allowed = Math.max(0, maxStartedTasks - job.startedTasks);
+  if (pendingTasks.filter(isFirstStart).length <= allowed) return pendingTasks;
+  // A gang that is wider than the maximum runs while nothing else of its job does.
+  if (spec.gang) return job.startedTasks === 0 ? pendingTasks : [];
+  return pendingTasks.filter((index) => {
+    if (!isFirstStart(index)) return true;
+    allowed -= 1;
+    return allowed >= 0;
+  });
+}
+
 /** Chooses workers for a gang or for single tasks; undefined if there is no capacity. */
 function chooseWorkersFor(
   step: Step,
@@ -229,10 +249,11 @@
   const { accepted } = step.job;
   const queue = configurationIndex.queues.get(accepted.queue);
   const terms = getQueueTerms(step.job, queue);
-  const pendingTasks = listPendingTasks(step, nowMs);
+  const allPendingTasks = listPendingTasks(step, nowMs);
+  const pendingTasks = limitFirstStarts(step, allPendingTasks);
   if (pendingTasks.length === 0) {
     releaseReservation(state, step);
-    return undefined;
+    return allPendingTasks.length > 0 ? HoldReason.JobSize : undefined;
   }
   const withinLimit = countTasksWithinLimit(
     step,
--- a/src/scheduler/_ranking.ts
+++ b/src/scheduler/_ranking.ts
@@ -5,7 +5,7 @@
  * late, are pending, too-late jobs are considered only a few times a second.
  */
 import { JobState } from '../model/mod.ts';
-import { ensureSteps, getOccurrenceCount } from './jobs.ts';
+import { ensureSteps, getOccurrenceCount, mayOpenOccurrence } from './jobs.ts';
 import { compareRanks, computeRank, Urgency } from './rank.ts';
 import type { Rank } from './rank.ts';
 import { getQueueTerms, guardJob } from './pass.ts';
@@ -38,10 +38,12 @@
 function listReadySteps(job: Job, times: PassTimes): Step[] {
   const ready: Step[] = [];
   for (
-    let occurrence = 0;
+    let occurrence = job.firstOpenOccurrence;
     occurrence < getOccurrenceCount(job) && isDue(job, occurrence, times.wallMs);
     occurrence++
   ) {
+    if (job.completedOccurrences.has(occurrence)) continue;
+    if (!job.occurrences.has(occurrence) && !mayOpenOccurrence(job)) break;
     setObjectiveStart(job, occurrence, times);
     const steps = ensureSteps(job, occurrence);
     const isReady = (step: Step) =>
--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -79,7 +79,15 @@
     tooLate: [],
     adviceRequests: [],
     failures: [],
-    held: { limit: 0, share: 0, room: 0, adviceSlot: 0, advicePending: 0, notAllowed: 0 },
+    held: {
+      limit: 0,
+      share: 0,
+      jobSize: 0,
+      room: 0,
+      adviceSlot: 0,
+      advicePending: 0,
+      notAllowed: 0,
+    },
   };
   const pass: Pass<Slot> = {
     ...inputs,
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -3,12 +3,16 @@
  */
 import { isTerminalState, JobState, RunEnd } from '../model/mod.ts';
 import type { AcceptedJob, EndedRun } from '../model/mod.ts';
+import { forEachInRanges } from './_ranges.ts';
+import type { NumberRange } from './_ranges.ts';
 import { computeCriticalPathMs } from './rank.ts';
 import { allocateRun, releaseRun } from './resource_accounting.ts';
 import { listAffectedTasks, makeRun, recordCheckpoint } from './state.ts';
 import type { CellState, Job, Run, Step, Task, Worker } from './state.ts';
 import { makeWait } from './waiting.ts';
 
+/** Maximum number of tasks in the open occurrences of a job, unless a single one has more. */
+const maxOpenTasks = 20_000;
 /** Delay before a task that did not start, or whose run was lost, is placed again. */
 const retryDelayMs = 50;
 
@@ -46,6 +50,23 @@
   return steps;
 }
 
+/** Whether another occurrence may be opened; each keeps its tasks in memory until it is complete. */
+export function mayOpenOccurrence({ accepted, occurrences }: Job): boolean {
+  const tasks = accepted.spec.steps.reduce((sum, { count }) => sum + count, 0);
+  return occurrences.size === 0 || (occurrences.size + 1) * tasks <= maxOpenTasks;
+}
+
+/** Records that a range of occurrences is complete, and drops their steps. */
+export function completeOccurrences(job: Job, [first, last]: NumberRange): void {
+  const { occurrences, completedOccurrences } = job;
+  if (first === job.firstOpenOccurrence) job.firstOpenOccurrence = last + 1;
+  else forEachInRanges([[first, last]], (occurrence) => completedOccurrences.add(occurrence));
+  while (completedOccurrences.delete(job.firstOpenOccurrence)) job.firstOpenOccurrence += 1;
+  occurrences.forEach((_, occurrence) => {
+    if (occurrence >= first && occurrence <= last) occurrences.delete(occurrence);
+  });
+}
+
 /** Returns how many times the steps of a job run. */
 export function getOccurrenceCount(job: Job): number {
   return job.accepted.spec.repetition?.count ?? 1;
@@ -73,6 +94,9 @@
       0,
     ),
     occurrences: new Map(),
+    firstOpenOccurrence: 0,
+    completedOccurrences: new Set(),
+    startedTasks: 0,
     skipUntilMs: -Infinity,
     setAsideUntilMs: -Infinity,
     wait: makeWait(acceptedAtMs),
@@ -106,9 +130,17 @@
   finishJob(state, job, terminalState, nowMs);
 }
 
+function listStepRuns({ tasks }: Step): Run[] {
+  const listed: Run[] = [];
+  tasks.forEach(({ runs }) => {
+    if (runs.length > 0) listed.push(...runs);
+  });
+  return listed;
+}
+
 /** Lists the runs of a job that hold resources. */
 export function listRuns(job: Job): Run[] {
-  return [...job.occurrences.values()].flat().flatMap((step) => step.tasks.flatMap((t) => t.runs));
+  return [...job.occurrences.values()].flat().flatMap(listStepRuns);
 }
 
 function finishJob(state: CellState, job: Job, terminalState: JobState, nowMs: number): void {
@@ -148,6 +180,7 @@
   },
 ): Run {
   const task = step.tasks[index]!;
+  if (task.attempt === 0) step.job.startedTasks += 1;
   task.attempt = attempt;
   if (step.job.state === JobState.Queued) step.job.state = JobState.Running;
   const run = makeRun(
@@ -165,11 +198,27 @@
   return run;
 }
 
+function isOccurrenceDone(steps: Step[]): boolean {
+  return steps.every(({ remainingTasks }) => remainingTasks === 0);
+}
+
+function hasRuns(steps: Step[]): boolean {
+  return steps.some(({ tasks }) => tasks.some(({ runs }) => runs.length > 0));
+}
+
+/** Drops an occurrence whose tasks are done and of which nothing runs any more. */
+function dropOccurrenceIfComplete({ job, occurrence }: Step): void {
+  const steps = job.occurrences.get(occurrence);
+  if (!steps || !isOccurrenceDone(steps) || hasRuns(steps)) return;
+  completeOccurrences(job, [occurrence, occurrence]);
+}
+
 function completeJobIfDone(state: CellState, job: Job, nowMs: number): void {
   if (isTerminalState(job.state)) return;
-  if (job.occurrences.size < getOccurrenceCount(job)) return;
-  const steps = [...job.occurrences.values()].flat();
-  if (steps.every(({ remainingTasks }) => remainingTasks === 0)) {
+  const knownOccurrences =
+    job.firstOpenOccurrence + job.completedOccurrences.size + job.occurrences.size;
+  if (knownOccurrences < getOccurrenceCount(job)) return;
+  if ([...job.occurrences.values()].every(isOccurrenceDone)) {
     finishJob(state, job, JobState.Completed, nowMs);
   }
 }
@@ -178,6 +227,7 @@
   if (task.isDone || step.spec.longRunning) return;
   task.isDone = true;
   step.remainingTasks -= 1;
+  if (task.attempt > 0) step.job.startedTasks -= 1;
 }
 
 function recordFailure(run: Run, task: Task, maxAttempts: number): boolean {
@@ -220,16 +270,17 @@
   if (end === RunEnd.Done) {
     listAffectedTasks(run).forEach((member) => completeTask(step, member));
     completeJobIfDone(state, job, nowMs);
-    // The other members of a gang end on their own.
-    return { runsToStop: step.spec.gang ? [] : task.runs };
   }
+  dropOccurrenceIfComplete(step);
+  // The other members of a gang end on their own.
+  if (end === RunEnd.Done) return { runsToStop: step.spec.gang ? [] : task.runs };
   if (end === RunEnd.Expired) task.notBeforeMs = nowMs + retryDelayMs;
   if (end === RunEnd.Failed && recordFailure(run, task, maxAttempts)) {
     finishJob(state, job, JobState.Failed, nowMs);
     return { runsToStop: listRuns(job) };
   }
   // A gang cannot continue without one of its members.
-  if (step.spec.gang) return { runsToStop: step.tasks.flatMap(({ runs }) => runs) };
+  if (step.spec.gang) return { runsToStop: listStepRuns(step) };
   return { runsToStop: [] };
 }
 
--- a/src/scheduler/pass.ts
+++ b/src/scheduler/pass.ts
@@ -12,6 +12,8 @@
   Limit: 'limit',
   /** Its organisation's fair share is used up; it is tried again after work of the others. */
   Share: 'share',
+  /** Its job has as many started tasks as its stored progress may list. */
+  JobSize: 'jobSize',
   /** No eligible worker has enough free capacity. */
   Room: 'room',
   /** No slot for an advice request is free. */
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -1,9 +1,14 @@
 /**
  * The stored record of a job's progress, from which a successor continues without starting a task
  * twice. It is written before the start orders of the runs that it lists are sent.
+ *
+ * Its size depends on the tasks that are started and not done, whatever the size of the job: done tasks
+ * and complete occurrences, which never start again, are stored as ranges.
  */
 import { isTerminalState, JobState } from '../model/mod.ts';
-import { ensureSteps } from './jobs.ts';
+import { completeOccurrences, ensureSteps } from './jobs.ts';
+import { forEachInRanges, toRanges } from './_ranges.ts';
+import type { NumberRange } from './_ranges.ts';
 import { allocateRun } from './resource_accounting.ts';
 import { makeRun, makeWorker } from './state.ts';
 import type { CellState, Job, Step, Task } from './state.ts';
@@ -11,7 +16,7 @@
 /** A stored run. */
 type RunRecord = [worker: string, incarnationStartMs: number, attempt: number];
 
-/** A stored task. Tasks that were never started are left out. */
+/** A stored task. Tasks that were never started, and done tasks without runs, are left out. */
 type TaskRecord = [
   index: number,
   attempt: number,
@@ -21,12 +26,20 @@
   runs: RunRecord[],
 ];
 
+/** A stored occurrence that is not complete; `done` has the indexes of done tasks without runs. */
+type OccurrenceRecord = [occurrence: number, steps: TaskRecord[][], done?: NumberRange[][]];
+
 /** Stored progress of a job. */
 export interface JobRecord {
   state: JobState;
-  occurrences: [occurrence: number, steps: TaskRecord[][]][];
+  /** Complete occurrences. */
+  completed?: NumberRange[];
+  occurrences: OccurrenceRecord[];
 }
 
+/** Checkpoints of a job are stored up to this total length; without one a lost run starts over. */
+const maxCheckpointLength = 150_000;
+
 function encodeTask(task: Task, index: number): TaskRecord {
   return [
     index,
@@ -42,6 +55,56 @@
   ];
 }
 
+function isDoneWithoutRuns({ isDone, runs }: Task): boolean {
+  return isDone && runs.length === 0;
+}
+
+function listDoneTasks(tasks: Task[]): NumberRange[] {
+  const indexes = [...tasks.keys()].filter((index) => isDoneWithoutRuns(tasks[index]!));
+  return toRanges(indexes);
+}
+
+function listCompletedOccurrences(job: Job): NumberRange[] {
+  const { firstOpenOccurrence, completedOccurrences } = job;
+  const below: NumberRange[] = firstOpenOccurrence > 0 ? [[0, firstOpenOccurrence - 1]] : [];
+  return [...below, ...toRanges([...completedOccurrences].sort((a, b) => a - b))];
+}
+
+function encodeSteps(steps: Step[]): TaskRecord[][] {
+  const isKept = (task: Task) => task.attempt > 0 && !isDoneWithoutRuns(task);
+  return steps.map(({ tasks }) =>
+    tasks.flatMap((task, index) => (isKept(task) ? [encodeTask(task, index)] : [])),
+  );
+}
+
+/** Leaves out the checkpoints beyond the total length that is stored. */
+function limitCheckpoints(records: TaskRecord[]): void {
+  let totalLength = 0;
+  records.forEach((record) => {
+    totalLength += record[4].length;
+    if (totalLength > maxCheckpointLength) record[4] = '';
+  });
+}
+
+function encodeOpenOccurrences(job: Job): OccurrenceRecord[] {
+  return [...job.occurrences].flatMap(([occurrence, steps]): OccurrenceRecord[] => {
+    const records = encodeSteps(steps);
+    const done = steps.map(({ tasks }) => listDoneTasks(tasks));
+    if (done.some((ranges) => ranges.length > 0)) return [[occurrence, records, done]];
+    return records.some((tasks) => tasks.length > 0) ? [[occurrence, records]] : [];
+  });
+}
+
+/** Encodes the runs of a job in a terminal state that still hold resources; nothing else matters. */
+function encodeRemainingRuns(job: Job): OccurrenceRecord[] {
+  return [...job.occurrences].flatMap(([occurrence, steps]): OccurrenceRecord[] => {
+    const records = encodeSteps(steps).map((tasks) =>
+      tasks.filter(([, , , , , runs]) => runs.length > 0),
+    );
+    return records.some((tasks) => tasks.length > 0) ? [[occurrence, records]] : [];
+  });
+}
+
 /**
  * Encodes the progress of a job for storage.
  *
@@ -49,17 +112,14 @@
  * const text = JSON.stringify(encodeProgress(job));
  */
 export function encodeProgress(job: Job): JobRecord {
-  // Of a job in a terminal state, only the runs that still hold resources matter.
-  const isKept: (task: TaskRecord) => boolean = isTerminalState(job.state)
-    ? ([, , , , , runs]) => runs.length > 0
-    : ([, attempt, , done]) => attempt > 0 || done === 1;
-  const occurrences = [...job.occurrences].map(([occurrence, steps]): [number, TaskRecord[][]] => [
-    occurrence,
-    steps.map(({ tasks }) => tasks.map(encodeTask).filter(isKept)),
-  ]);
+  const hasEnded = isTerminalState(job.state);
+  const occurrences = hasEnded ? encodeRemainingRuns(job) : encodeOpenOccurrences(job);
+  limitCheckpoints(occurrences.flatMap(([, steps]) => steps.flat()));
+  const completed = hasEnded ? [] : listCompletedOccurrences(job);
   return {
     state: job.state,
-    occurrences: occurrences.filter(([, steps]) => steps.some((tasks) => tasks.length > 0)),
+    ...(completed.length > 0 ? { completed } : {}),
+    occurrences,
   };
 }
 
@@ -93,6 +153,26 @@
   });
 }
 
+function restoreDoneTask(step: Step, index: number): void {
+  step.tasks[index]!.isDone = true;
+  step.remainingTasks -= 1;
+  step.job.hasConfirmedStart = true;
+}
+
+function restoreTask(
+  state: CellState,
+  step: Step,
+  [index, attempt, failures, done, checkpoint, runs]: TaskRecord,
+  nowMs: number,
+): void {
+  const { job } = step;
+  Object.assign(step.tasks[index]!, { attempt, failures, checkpoint });
+  if (done === 1) restoreDoneTask(step, index);
+  else job.startedTasks += 1;
+  if (failures > 0 || checkpoint !== '') job.hasConfirmedStart = true;
+  restoreRuns(state, { step, index }, runs, nowMs);
+}
+
 /**
  * Restores the stored progress of a job that was just added.
  *
@@ -112,17 +192,14 @@
     job.endedAtMs = nowMs;
     state.activeJobs.delete(job);
   }
-  record.occurrences.forEach(([occurrence, stepRecords]) => {
+  (record.completed ?? []).forEach((range) => completeOccurrences(job, range));
+  record.occurrences.forEach(([occurrence, stepRecords, done = []]) => {
     const steps = ensureSteps(job, occurrence);
     stepRecords.forEach((tasks, stepIndex) => {
-      const step = steps[stepIndex]!;
-      tasks.forEach(([index, attempt, failures, done, checkpoint, runs]) => {
-        const task = step.tasks[index]!;
-        Object.assign(task, { attempt, failures, checkpoint, isDone: done === 1 });
-        if (done === 1) step.remainingTasks -= 1;
-        if (done === 1 || failures > 0 || checkpoint !== '') job.hasConfirmedStart = true;
-        restoreRuns(state, { step, index }, runs, nowMs);
-      });
+      tasks.forEach((taskRecord) => restoreTask(state, steps[stepIndex]!, taskRecord, nowMs));
     });
+    done.forEach((ranges, stepIndex) =>
+      forEachInRanges(ranges, (index) => restoreDoneTask(steps[stepIndex]!, index)),
+    );
   });
 }
--- /dev/null
+++ b/src/scheduler/records_test.ts
@@ -0,0 +1,159 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { JobState, RunEnd } from '../model/mod.ts';
+import type { AcceptedJob } from '../model/mod.ts';
+import {
+  acceptedJob,
+  cellWithWorkers,
+  decisionInputs,
+  stepSpec,
+  submit,
+} from '../testing/fake_cell.ts';
+import { decideStarts } from './decide.ts';
+import { addJob, endRun } from './jobs.ts';
+import { encodeProgress, restoreProgress } from './records.ts';
+import type { JobRecord } from './records.ts';
+import { getTaskName } from './state.ts';
+import type { CellState, Job, Run } from './state.ts';
+
+const test = suite('records');
+
+function start(state: CellState, nowMs = 0): Run[] {
+  return decideStarts(state, decisionInputs({ nowMs, wallMs: nowMs })).starts;
+}
+
+function finish(state: CellState, run: Run, end: RunEnd = RunEnd.Done, checkpoint = ''): void {
+  endRun(state, run, { end, checkpoint }, { maxAttempts: 3, nowMs: 0 });
+}
+
+/** Starts and completes tasks until this many are done; returns their names. */
+function completeTasks(state: CellState, count: number): Set<string> {
+  const names = new Set<string>();
+  while (names.size < count) {
+    const starts = start(state);
+    assert.ok(starts.length > 0, 'the job goes on');
+    starts.slice(0, count - names.size).forEach((run) => {
+      names.add(getTaskName(run));
+      finish(state, run);
+    });
+  }
+  return names;
+}
+
+function restore(job: Job, accepted: AcceptedJob): { state: CellState; job: Job } {
+  const state = cellWithWorkers(12, 32_000);
+  const restored = addJob(state, accepted, 0);
+  const record = JSON.parse(JSON.stringify(encodeProgress(job))) as JobRecord;
+  restoreProgress(state, restored, record, 0);
+  return { state, job: restored };
+}
+
+const threeSteps = [0, 1, 2].map((step) =>
+  stepSpec({ count: 150, cpu: 400, after: step > 0 ? [step - 1] : [] }),
+);
+
+// Guards against a row that outgrows the store: the progress of a large job listed all done tasks.
+test('the stored progress of a large job does not grow with the tasks that are done', () => {
+  const accepted = acceptedJob('a', threeSteps, {
+    repetition: { count: 8, startAtMs: 0, intervalMs: 0 },
+  });
+  const state = cellWithWorkers(12, 32_000);
+  const job = submit(state, accepted);
+  completeTasks(state, 3_590);
+  assert.ok(JSON.stringify(encodeProgress(job)).length < 2_000);
+});
+
+// Guards against a second run of a task whose end was stored before a takeover.
+test('a successor starts only tasks that were neither done nor running', () => {
+  const accepted = acceptedJob('a', threeSteps, {
+    repetition: { count: 4, startAtMs: 0, intervalMs: 0 },
+  });
+  for (const doneCount of [1, 149, 150, 450, 777, 1_799]) {
+    const state = cellWithWorkers(12, 32_000);
+    const job = submit(state, accepted);
+    const known = completeTasks(state, doneCount);
+    state.workers.forEach(({ runs }) => runs.forEach((run) => known.add(getTaskName(run))));
+    const successor = restore(job, accepted);
+    const running = [...successor.state.workers.values()].flatMap(({ runs }) => [...runs.values()]);
+    assert.is(running.length, known.size - doneCount);
+    running.forEach((run) => finish(successor.state, run));
+    const started: string[] = [];
+    while (successor.job.state !== JobState.Completed) {
+      const starts = start(successor.state);
+      assert.ok(starts.length > 0, 'the job goes on');
+      starts.forEach((run) => {
+        started.push(getTaskName(run));
+        finish(successor.state, run);
+      });
+    }
+    assert.is(started.filter((name) => known.has(name)).length, 0, `${doneCount} done`);
+    assert.is(started.length + known.size, 1_800);
+  }
+});
+
+// Guards against memory and records that grow for as long as a repeated job goes on.
+test('the occurrences of a repeated job are dropped when they are complete', () => {
+  const accepted = acceptedJob('a', [stepSpec()], {
+    repetition: { count: 1_000_000, startAtMs: 0, intervalMs: 1 },
+  });
+  const state = cellWithWorkers(12, 32_000);
+  const job = submit(state, accepted);
+  for (let nowMs = 0; nowMs < 2_000; nowMs += 100) {
+    start(state, nowMs).forEach((run) => finish(state, run));
+  }
+  assert.ok(job.occurrences.size < 200);
+  assert.ok(JSON.stringify(encodeProgress(job)).length < 200);
+  assert.is(restore(job, accepted).job.firstOpenOccurrence, job.firstOpenOccurrence);
+});
+
+// Guards against a job that takes all memory of the scheduler, as all its occurrences are due at once.
+test('a job whose million occurrences are due at once opens them a few at a time', () => {
+  const accepted = acceptedJob('a', [stepSpec({ count: 1_000 })], {
+    repetition: { count: 1_000_000, startAtMs: 0, intervalMs: 0 },
+  });
+  const state = cellWithWorkers(12, 32_000);
+  const job = submit(state, accepted);
+  assert.ok(start(state).length > 0);
+  assert.ok(job.occurrences.size <= 20);
+});
+
+// Guards against progress that no transaction of the store can hold.
+test('a job has at most 6,000 started tasks, and those that were started go first', () => {
+  const accepted = acceptedJob('a', [stepSpec({ count: 7_000, cpu: 1, estimatedMs: 1 })]);
+  const state = cellWithWorkers(12, 32_000);
+  const job = submit(state, accepted);
+  const starts = start(state);
+  assert.is(starts.length, 6_000);
+  assert.ok(JSON.stringify(encodeProgress(job)).length < 600_000);
+  starts.slice(0, 10).forEach((run) => finish(state, run, RunEnd.Failed));
+  assert.equal(
+    start(state, 1_000).map(({ attempt }) => attempt),
+    Array(10).fill(2),
+  );
+});
+
+// Guards against a gang that would wait for ever for room in the progress of its job.
+test('a gang of more than 6,000 tasks starts when nothing else of its job does, and again later', () => {
+  const accepted = acceptedJob('a', [
+    stepSpec({ count: 6_500, cpu: 1, estimatedMs: 1, gang: true }),
+  ]);
+  const state = cellWithWorkers(12, 32_000);
+  submit(state, accepted);
+  const starts = start(state);
+  assert.is(starts.length, 6_500);
+  starts.forEach((run) => finish(state, run, RunEnd.Broken));
+  assert.is(start(state, 1_000).length, 6_500);
+});
+
+// Guards against checkpoints that make the progress too large; a lost run only starts over.
+test('checkpoints beyond a total length are left out of the stored progress', () => {
+  const accepted = acceptedJob('a', [stepSpec({ count: 100, checkpointing: true })]);
+  const state = cellWithWorkers(12, 32_000);
+  const job = submit(state, accepted);
+  start(state).forEach((run) => finish(state, run, RunEnd.Stopped, 'x'.repeat(30_000)));
+  assert.ok(JSON.stringify(encodeProgress(job)).length < 200_000);
+  assert.is(job.occurrences.get(0)![0]!.tasks[99]!.checkpoint.length, 30_000);
+});
+
+test.run();
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -118,7 +118,14 @@
   criticalPathMs: number;
   /** Work of one occurrence as estimated by the client, in millicores times milliseconds. */
   millicoreMs: number;
+  /** Steps of the occurrences that are open: due, and not complete. */
   occurrences: Map<number, Step[]>;
+  /** All occurrences below this one are complete; their steps have been dropped. */
+  firstOpenOccurrence: number;
+  /** Complete occurrences above `firstOpenOccurrence`; their steps have been dropped, too. */
+  completedOccurrences: Set<number>;
+  /** Number of tasks that were started and are not done, which its stored progress lists one by one. */
+  startedTasks: number;
   /** Monotonic time before which passes skip the job because it is too late. */
   skipUntilMs: number;
   /** Monotonic time before which passes skip the job because a decision about it failed. */
--- a/src/scheduler/workers_test.ts
+++ b/src/scheduler/workers_test.ts
@@ -12,7 +12,7 @@
   submit,
 } from '../testing/fake_cell.ts';
 import { decideStarts } from './decide.ts';
-import { addJob, countPendingJobs } from './jobs.ts';
+import { addJob, countPendingJobs, endRun } from './jobs.ts';
 import { encodeProgress, restoreProgress } from './records.ts';
 import type { JobRecord } from './records.ts';
 import { getRunKey, getTaskName, makeCellState, RunPhase } from './state.ts';
@@ -220,30 +220,25 @@
 
 test('encoding and restoring progress keeps attempts, failures, done tasks and runs', () => {
   const state = cellWithWorkers(2);
-  const accepted = acceptedJob('a', [stepSpec({ count: 3 })]);
+  const accepted = acceptedJob('a', [stepSpec({ count: 4 })]);
   const job = submit(state, accepted);
-  const [, run] = startAll(state);
-  const task = job.occurrences.get(0)![0]!.tasks[0]!;
-  Object.assign(task, { isDone: true, failures: 1, checkpoint: 'c1', runs: [] });
+  const [done, run] = startAll(state);
+  const { tasks } = job.occurrences.get(0)![0]!;
+  endRun(state, done!, { end: RunEnd.Done, checkpoint: '' }, { maxAttempts: 3, nowMs: 1 });
+  Object.assign(tasks[3]!, { failures: 1, checkpoint: 'c1', runs: [] });
   const record = JSON.parse(JSON.stringify(encodeProgress(job))) as JobRecord;
 
   const successor = makeCellState();
   const restored = addJob(successor, accepted, 0);
   restoreProgress(successor, restored, record, 100);
   const [step] = restored.occurrences.get(0)!;
-  assert.is(step!.remainingTasks, 2);
+  assert.is(step!.remainingTasks, 3);
+  assert.is(restored.startedTasks, 3);
   assert.equal(
-    step!.tasks.map(({ attempt, failures, isDone, checkpoint }) => [
-      attempt,
-      failures,
-      isDone,
-      checkpoint,
-    ]),
-    [
-      [1, 1, true, 'c1'],
-      [1, 0, false, ''],
-      [1, 0, false, ''],
-    ],
+    step!.tasks.map(({ attempt, failures, isDone, checkpoint }) =>
+      isDone ? 'done' : [attempt, failures, checkpoint],
+    ),
+    ['done', [1, 0, ''], [1, 0, ''], [1, 1, 'c1']],
   );
   assert.is(successor.workers.get(run!.workerId)!.isRegistered, false);
   assert.is(successor.usage.get('mill')!.cpu, 2_000);
