Keep one row that the store never takes from stopping the scheduler

Cause: the store's client made every status but 200 and 412 'unavailable', and the batch writer sent the same transaction again until another process took over, which met the same. Other transactions that the store never takes: a batch of 700 KB before base64 may be over 1 MB after it, and it counted characters, not bytes; 15 job rows of an entry process may be, too.

The batch writer sends the rows of such a transaction in smaller ones and holds back a row that is rejected alone for 5 s (event row-rejected); flushes wait only for their own row then, so that neither a start order nor the confirmation of an end precedes its row. The store does not count as failing. Batches are bounded by bytes.

The progress of the waiting flush in a report covers ends that an earlier, unconfirmed report has listed.

--- a/src/batches/batcher.ts
+++ b/src/batches/batcher.ts
@@ -21,6 +21,9 @@
   onError(error: unknown): void;
   maxInFlight: number;
   maxRequests: number;
+  /** Largest total size of a batch of several requests, by the sizes that `sizeOf` returns. */
+  maxSize?: number;
+  sizeOf?(request: Request): number;
 }
 
 interface PendingRequest<Request, Result> {
@@ -40,6 +43,7 @@
   options: BatchOptions<Request, Result>,
 ): Batcher<Request, Result> {
   const { send, fallback, onError, maxInFlight, maxRequests } = options;
+  const { maxSize = Infinity, sizeOf = () => 0 } = options;
   const pending: PendingRequest<Request, Result>[] = [];
   let batchesInFlight = 0;
 
@@ -52,8 +56,19 @@
     }
   }
 
+  /** Returns how many of the pending requests the next batch holds. */
+  function countNext(): number {
+    let size = 0;
+    const candidates = pending.slice(0, maxRequests);
+    const tooLarge = candidates.findIndex(({ request }, index) => {
+      size += sizeOf(request);
+      return index > 0 && size > maxSize;
+    });
+    return tooLarge === -1 ? candidates.length : tooLarge;
+  }
+
   async function sendBatch(): Promise<void> {
-    const batch = pending.splice(0, maxRequests);
+    const batch = pending.splice(0, countNext());
     batchesInFlight += 1;
     const results = await trySend(batch.map(({ request }) => request));
     batchesInFlight -= 1;
--- a/src/batches/batcher_test.ts
+++ b/src/batches/batcher_test.ts
@@ -58,4 +58,23 @@
   assert.equal(errors, [defect]);
 });
 
+// Guards against a batch that is larger than the receiver accepts.
+test('a batch ends before the request that would make it too large, and a large one goes alone', async () => {
+  const sent: number[][] = [];
+  const batcher = makeBatcher<number, string>({
+    async send(requests) {
+      sent.push(requests);
+      return requests.map(String);
+    },
+    fallback: 'none',
+    onError: () => undefined,
+    maxInFlight: 1,
+    maxRequests: 10,
+    maxSize: 10,
+    sizeOf: (request) => request,
+  });
+  await Promise.all([1, 6, 4, 1, 25, 2].map((request) => batcher.submit(request)));
+  assert.equal(sent, [[1], [6, 4], [1], [25], [2]]);
+});
+
 test.run();
--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -12,10 +12,12 @@
   reconcileReport,
   updateFreeCapacity,
   findStalledRuns,
+  getJobId,
 } from '../scheduler/mod.ts';
 import type { Worker } from '../scheduler/mod.ts';
 import type { RunEndHandler } from './_run_end_handler.ts';
 import { maxRenewalWithoutStoreMs } from './_term_state.ts';
+import { progressRow } from './rows.ts';
 import { forEachRow } from './table_watcher.ts';
 import type { Term } from './_term_state.ts';
 import { makeWorkerLink } from './worker_link.ts';
@@ -85,7 +87,9 @@
     endHandler.applyEnds(observation.ends, 'reported');
     observation.unknownRuns.forEach(({ task, attempt }) => stopUnknownRun(worker, task, attempt));
     if (observation.ends.length > 0 || !wasUsable) term.schedulePass();
-    return report.ended.length === 0 || writer.flush({ isUrgent: false });
+    // Ends that an earlier report has listed, too, may not be stored yet.
+    const rows = report.ended.map(({ task }) => progressRow(getJobId(task)));
+    return rows.length === 0 || writer.flush({ isUrgent: false, rows });
   }
 
   function openLink(worker: Worker): void {
--- a/src/cell/_pass_runner.ts
+++ b/src/cell/_pass_runner.ts
@@ -8,6 +8,7 @@
 import type { PendingAdviceRequest, HoldReason, Job, Run } from '../scheduler/mod.ts';
 import type { OrderSender } from './_orders.ts';
 import type { AdviceSlot } from './advice_pool.ts';
+import { acceptedRow, progressRow } from './rows.ts';
 import { maxOperatorStateAgeMs } from './_start_conditions.ts';
 import type { Term } from './_term_state.ts';
 
@@ -115,7 +116,8 @@
   /** Sends the start orders of a job once they are stored, without waiting for later changes. */
   async function sendStarts(job: Job, starts: Run[]): Promise<void> {
     term.markJobDirty(job);
-    if (!(await writer.flush())) return;
+    const { id } = job.accepted;
+    if (!(await writer.flush({ rows: [acceptedRow(id), progressRow(id)] }))) return;
     const storedAtMs = clock.now();
     starts.forEach((run) => {
       run.storedAtMs = storedAtMs;
--- a/src/cell/_term_state.ts
+++ b/src/cell/_term_state.ts
@@ -31,6 +31,8 @@
   predecessorMayAct: boolean;
   /** Longest lease that a worker grants. */
   maxLeaseMs: number;
+  /** Longest value of a row of the store, in bytes. */
+  maxRowBytes: number;
   onEnded(reason: string): void;
 }
 
--- a/src/cell/batch_writer.ts
+++ b/src/cell/batch_writer.ts
@@ -3,6 +3,9 @@
  * transaction at a time. Each transaction also replaces the sequence row and expects its previous
  * version. A transaction that arrives late or comes from a deposed scheduler therefore fails, and the
  * outcome of one without a response is determined by sending it again.
+ *
+ * A transaction that the store rejects for what it contains is not sent again as it is; `_dirty_rows.ts`
+ * chooses what is sent instead.
  */
 import type { Clock } from '../clock/mod.ts';
 import { ErrorKind } from '../errors/mod.ts';
@@ -10,9 +13,11 @@
 import { logFailure } from '../logs/mod.ts';
 import type { Logger } from '../logs/mod.ts';
 import type { RowKey, Store, StoreTransaction, StoredRow } from '../model/mod.ts';
+import { makeDirtyRows } from './_dirty_rows.ts';
+import type { RowBatch, RowSource } from './_dirty_rows.ts';
+import { getRowName } from './rows.ts';
 
-/** Returns the content to write to a row; undefined deletes the row. */
-export type RowSource = () => string | undefined;
+export type { RowSource };
 
 /** Writes changed rows to the store in batches. */
 export interface BatchWriter {
@@ -25,10 +30,10 @@
   markDirtyFirst(row: RowKey, source: RowSource): void;
   /**
    * Resolves with true once all rows marked so far are stored, or with false once the writer is
-   * closed or the scheduler is deposed. A flush that is not urgent does not shorten the delay of the
-   * transaction.
+   * closed or the scheduler is deposed. With `rows`, it does not wait for other rows that are held
+   * back. A flush that is not urgent does not shorten the delay of the transaction.
    */
-  flush(options?: { isUrgent?: boolean }): Promise<boolean>;
+  flush(options?: { isUrgent?: boolean; rows?: RowKey[] }): Promise<boolean>;
   /** Moving average of the time that a transaction takes, in milliseconds. */
   latencyMs(): number;
   /** Monotonic time at which the last transaction was known to have taken effect. */
@@ -57,40 +62,30 @@
   /** Unique prefix of this writer's sequence values. */
   author: string;
   onDeposed(): void;
+  /** Longest value of a row, in bytes. */
+  maxRowBytes: number;
 }
 
-const maxRowsPerTransaction = 90;
-const maxBytesPerTransaction = 700_000;
 /** Delay of a transaction that no urgent flush waits for. */
 const batchDelayMs = 20;
 const retryDelayMs = 60;
 const latencyWeight = 0.2;
 const initialLatencyMs = 12;
 
-/** Whether a transaction has taken effect or must be sent again. */
-type WriteOutcome = 'stored' | 'again';
+/** Whether a transaction has taken effect, must be sent again, or never takes effect as it is. */
+type WriteOutcome = 'stored' | 'again' | 'rejected';
 
 interface Waiter {
   generation: number;
+  /** Names of the rows that it waits for even while they are held back; undefined for all. */
+  rows: Set<string> | undefined;
   isUrgent: boolean;
   resolve(isStored: boolean): void;
 }
 
-interface DirtyRow {
-  row: RowKey;
-  source: RowSource;
-  generation: number;
-  onStored?: (() => void) | undefined;
-}
-
-interface Batch {
+interface Batch extends RowBatch {
   transaction: StoreTransaction;
   value: string;
-  onStored: (() => void)[];
-}
-
-function getRowName({ table, part, key }: RowKey): string {
-  return `${table}/${part}/${key}`;
 }
 
 /**
@@ -101,13 +96,10 @@
  * if (await writer.flush()) sendOrders();
  */
 export function makeBatchWriter(options: BatchWriterOptions): BatchWriter {
-  const { store, clock, log, sequenceRow, author, onDeposed } = options;
-  const dirtyRows = new Map<string, DirtyRow>();
-  /** Rows that precede those above. */
-  const firstRows = new Map<string, DirtyRow>();
+  const { store, clock, log, sequenceRow, author, onDeposed, maxRowBytes } = options;
+  const dirtyRows = makeDirtyRows({ clock, log, maxRowBytes });
   let sequence = { ...options.claimedSequence };
   let transactionCount = 0;
-  let generation = 0;
   let waiters: Waiter[] = [];
   let isRunning = false;
   let isClosed = false;
@@ -118,17 +110,21 @@
   let hasFailed = false;
   /** Start of the first attempt of the transaction in flight, while all attempts were rejected. */
   let rejectedSinceMs: number | undefined;
+  let rejectionReason: unknown;
 
   function resolveWaiters(): void {
-    const oldestGeneration = Math.min(
-      Infinity,
-      ...[...dirtyRows.values()].map((entry) => entry.generation),
-    );
-    const ready = waiters.filter((waiter) => waiter.generation < oldestGeneration);
-    waiters = waiters.filter((waiter) => waiter.generation >= oldestGeneration);
+    const oldestGeneration = dirtyRows.oldestGeneration();
+    const isReady = (waiter: Waiter) =>
+      waiter.generation < oldestGeneration && !waitsForHeldRow(waiter);
+    const ready = waiters.filter(isReady);
+    waiters = waiters.filter((waiter) => !ready.includes(waiter));
     ready.forEach(({ resolve }) => resolve(true));
   }
 
+  function waitsForHeldRow({ rows, generation }: Waiter): boolean {
+    return dirtyRows.isHeldBack(rows, generation);
+  }
+
   function close(): void {
     isClosed = true;
     clearTimeout(delayTimer);
@@ -139,26 +135,13 @@
   function takeBatch(): Batch {
     transactionCount += 1;
     const value = `${author}.${transactionCount}`;
+    const batch = dirtyRows.takeBatch();
     const transaction: StoreTransaction = {
       expected: [{ ...sequenceRow, version: sequence.version }],
-      writes: [{ ...sequenceRow, value }],
-      deletes: [],
+      writes: [{ ...sequenceRow, value }, ...batch.writes],
+      deletes: batch.deletes,
     };
-    const onStored: (() => void)[] = [];
-    let rows = 0;
-    let bytes = 0;
-    for (const [name, entry] of [...firstRows, ...dirtyRows]) {
-      if (rows >= maxRowsPerTransaction || bytes > maxBytesPerTransaction) break;
-      firstRows.delete(name);
-      dirtyRows.delete(name);
-      rows += 1;
-      const text = entry.source();
-      if (text === undefined) transaction.deletes.push(entry.row);
-      else transaction.writes.push({ ...entry.row, value: text });
-      bytes += text?.length ?? 0;
-      if (entry.onStored) onStored.push(entry.onStored);
-    }
-    return { transaction, value, onStored };
+    return { ...batch, transaction, value };
   }
 
   /** Derives the outcome of a transaction from a conflict; undefined when deposed. */
@@ -191,6 +174,10 @@
       Left: (failure) => {
         if (failure.kind === ErrorKind.TableConflict) return resolveConflict(failure, value);
         latencyMs += latencyWeight * (clock.now() - startedAtMs - latencyMs);
+        if (failure.kind === ErrorKind.TableRejected) {
+          rejectionReason = failure.got;
+          return 'rejected';
+        }
         if (failure.kind === ErrorKind.TableUnavailable) rejectedSinceMs ??= startedAtMs;
         else rejectedSinceMs = undefined;
         return 'again';
@@ -199,7 +186,8 @@
   }
 
   async function writeBatch(): Promise<void> {
-    const { transaction, value, onStored } = takeBatch();
+    const batch = takeBatch();
+    const { transaction, value } = batch;
     transactionStartedAtMs = clock.now();
     while (!isClosed) {
       const outcome = await sendTransaction(transaction, value);
@@ -207,7 +195,13 @@
         lastCommitAtMs = clock.now();
         hasFailed = false;
         rejectedSinceMs = undefined;
-        onStored.forEach((notify) => notify());
+        dirtyRows.handleStored(batch);
+        return;
+      }
+      if (outcome === 'rejected') {
+        hasFailed = false;
+        rejectedSinceMs = undefined;
+        dirtyRows.handleRejected(batch, rejectionReason);
         return;
       }
       if (outcome === undefined) {
@@ -223,7 +217,8 @@
   }
 
   async function writeBatches(): Promise<void> {
-    if (isRunning || isClosed || !hasDirtyRows()) return;
+    dirtyRows.releaseHeldRows();
+    if (isRunning || isClosed || dirtyRows.isEmpty()) return;
     isRunning = true;
     // Rows marked in the same turn of the event loop belong to one transaction.
     await undefined;
@@ -232,15 +227,12 @@
       if (!isClosed) resolveWaiters();
     } while (isWriteUrgent() && !isClosed);
     isRunning = false;
-    if (hasDirtyRows()) writeLater();
-  }
-
-  function hasDirtyRows(): boolean {
-    return firstRows.size + dirtyRows.size > 0;
+    if (!dirtyRows.isEmpty()) writeLater();
   }
 
   function isWriteUrgent(): boolean {
-    return dirtyRows.size > 0 && waiters.some((waiter) => waiter.isUrgent);
+    const isUrgent = (waiter: Waiter) => waiter.isUrgent && !waitsForHeldRow(waiter);
+    return dirtyRows.hasOrdinary() && waiters.some(isUrgent);
   }
 
   function writeNow(): void {
@@ -261,28 +253,25 @@
   return {
     markDirty(row, source, onStored) {
       if (isClosed) return;
-      generation += 1;
-      const name = getRowName(row);
-      // A row that is already dirty keeps its generation, since a flush may wait for its first mark.
-      const existing = dirtyRows.get(name);
-      dirtyRows.set(name, {
-        row,
-        source,
-        onStored,
-        generation: existing?.generation ?? generation,
-      });
+      dirtyRows.mark(row, source, onStored);
       if (!isRunning) writeLater();
     },
     markDirtyFirst(row, source) {
       if (isClosed) return;
-      firstRows.set(getRowName(row), { row, source, generation });
+      dirtyRows.markFirst(row, source);
       if (!isRunning) writeLater();
     },
-    flush({ isUrgent: isUrgentFlush = true } = {}) {
+    flush({ isUrgent: isUrgentFlush = true, rows } = {}) {
       if (isClosed) return Promise.resolve(false);
-      if (dirtyRows.size === 0 && !isRunning) return Promise.resolve(true);
+      const names = rows && new Set(rows.map(getRowName));
       return new Promise((resolve) => {
-        waiters.push({ generation, resolve, isUrgent: isUrgentFlush });
+        const generation = dirtyRows.generation();
+        const waiter = { generation, resolve, isUrgent: isUrgentFlush, rows: names };
+        if (!dirtyRows.hasOrdinary() && !isRunning && !waitsForHeldRow(waiter)) {
+          resolve(true);
+          return;
+        }
+        waiters.push(waiter);
         if (isUrgentFlush) writeNow();
       });
     },
--- a/src/cell/batch_writer_test.ts
+++ b/src/cell/batch_writer_test.ts
@@ -13,7 +13,7 @@
 
 const instantClock: Clock = { ...systemClock, sleep: () => Promise.resolve() };
 
-async function claimAndOpen(store: FakeStore, author = 'a') {
+async function claimAndOpen(store: FakeStore, author = 'a', clock = instantClock) {
   const claimed = await store.transact({
     expected: [],
     writes: [{ ...sequenceRow, value: `${author}.0` }],
@@ -22,11 +22,12 @@
   const state = { deposed: false };
   const writer = makeBatchWriter({
     store,
-    clock: instantClock,
+    clock,
     log: silentLogger,
     sequenceRow,
     claimedSequence: { version: claimed.orDefault(0), value: `${author}.0` },
     author,
+    maxRowBytes: 65_536,
     onDeposed() {
       state.deposed = true;
     },
@@ -159,4 +160,72 @@
   assert.is(writer.rejectedMs(), 0);
 });
 
+/** Counts the transactions that the writer sends. */
+function countTransactions(store: FakeStore): () => number {
+  let count = 0;
+  store.setOutcome(() => {
+    count += 1;
+    return 'done';
+  });
+  return () => count;
+}
+
+// Guards against one job that keeps the changes of all others from being stored (review 1).
+test('a row that the store never takes holds up no other row, and the store does not count as failing', async () => {
+  const store = makeFakeStore({ maxRowBytes: 100 });
+  const { writer, state } = await claimAndOpen(store);
+  const large = progressRow('large');
+  const keys = Array.from({ length: 80 }, (_, index) => `j${index}`);
+  keys.slice(0, 50).forEach((key) => writer.markDirty(progressRow(key), () => key));
+  writer.markDirty(large, () => 'x'.repeat(200));
+  keys.slice(50).forEach((key) => writer.markDirty(progressRow(key), () => key));
+  writer.markDirtyFirst(heartbeatRow, () => 'beat');
+  assert.ok(await writer.flush({ rows: keys.map(progressRow) }));
+  keys.forEach((key) => assert.is(store.getValue('progress', key), key));
+  assert.is(store.getValue('leadership', 'heartbeat'), 'beat');
+  assert.is(writer.failingMs(), 0);
+  assert.is(writer.rejectedMs(), 0);
+  assert.not.ok(state.deposed);
+});
+
+// Guards against an order or a confirmation for a change that was not stored.
+test('a flush of a rejected row resolves only when the row is stored', async () => {
+  const store = makeFakeStore({ maxRowBytes: 100 });
+  let nowMs = 0;
+  const { writer } = await claimAndOpen(store, 'a', { ...instantClock, now: () => nowMs });
+  const large = progressRow('large');
+  let content = 'x'.repeat(200);
+  writer.markDirty(large, () => content);
+  let isStored: boolean | undefined;
+  const flushed = writer.flush({ rows: [large] }).then((value) => {
+    isStored = value;
+  });
+  writer.markDirty(progressRow('other'), () => 'other');
+  assert.ok(await writer.flush({ rows: [progressRow('other')] }));
+  assert.is(isStored, undefined);
+  content = 'small';
+  writer.markDirty(large, () => content);
+  nowMs = 6_000;
+  writer.markDirty(progressRow('other'), () => 'other');
+  assert.ok(await writer.flush());
+  await flushed;
+  assert.is(isStored, true);
+  assert.is(store.getValue('progress', 'large'), 'small');
+});
+
+// Guards against a transaction over 1 MB, which the store never takes, from rows that fit one by one.
+test('many large rows are stored by several transactions, none of which is over a limit', async () => {
+  for (const letter of ['x', '€']) {
+    const store = makeFakeStore();
+    const sent = countTransactions(store);
+    const { writer } = await claimAndOpen(store);
+    const value = letter.repeat(Math.floor(65_000 / Buffer.byteLength(letter)));
+    const keys = Array.from({ length: 40 }, (_, index) => `j${index}`);
+    keys.forEach((key) => writer.markDirty(progressRow(key), () => value));
+    assert.ok(await writer.flush());
+    keys.forEach((key) => assert.is(store.getValue('progress', key), value));
+    assert.is(sent(), 1 + 4, 'the claim and four transactions of up to 11 rows');
+  }
+});
+
 test.run();
--- a/src/cell/rows.ts
+++ b/src/cell/rows.ts
@@ -38,6 +38,11 @@
   return { table: acceptedTable, part: cellPart, key: id };
 }
 
+/** Returns the name of a row among all tables. */
+export function getRowName({ table, part, key }: RowKey): string {
+  return `${table}/${part}/${key}`;
+}
+
 const cancellationSuffix = '/cancelled';
 
 function getJobPart(id: string): string {
--- a/src/cell/service.ts
+++ b/src/cell/service.ts
@@ -5,12 +5,12 @@
  * To sustain hundreds of calls a second, jobs that arrive together are stored by one transaction,
  * together with the starts that are decided in the meantime.
  */
-import type { AcceptedJob, JobState } from '../model/mod.ts';
+import type { AcceptedJob, JobState, RowKey } from '../model/mod.ts';
 import { addJob, computeObjectiveMs } from '../scheduler/mod.ts';
 import type { Job, RefusalReason } from '../scheduler/mod.ts';
 import type { RunEndHandler } from './_run_end_handler.ts';
 import type { Term } from './_term_state.ts';
-import { acceptedRow } from './rows.ts';
+import { acceptedRow, progressRow } from './rows.ts';
 
 /** Result of submitting a job to the scheduler. */
 export const SubmitResult = {
@@ -103,10 +103,13 @@
     return false;
   }
 
-  /** Waits until all changes so far are stored; false when the store fails or does not respond. */
-  async function waitUntilStored(): Promise<boolean> {
+  /** Waits until a row and the other changes so far are stored; false when the store fails or does not respond. */
+  async function waitUntilStored(row: RowKey): Promise<boolean> {
     const controller = new AbortController();
-    const isStored = await Promise.race([writer.flush(), waitForStoreFailure(controller.signal)]);
+    const isStored = await Promise.race([
+      writer.flush({ rows: [row] }),
+      waitForStoreFailure(controller.signal),
+    ]);
     controller.abort();
     return isStored;
   }
@@ -138,7 +141,9 @@
         });
         term.schedulePass();
       }
-      return (await waitUntilStored()) ? SubmitResult.Stored : SubmitResult.Unknown;
+      return (await waitUntilStored(acceptedRow(job.id)))
+        ? SubmitResult.Stored
+        : SubmitResult.Unknown;
     },
 
     getStoredState: (jobId) => (isActive() ? state.jobs.get(jobId)?.storedState : undefined),
@@ -146,7 +151,7 @@
     async cancel(jobId) {
       if (!mayWrite() || !state.jobs.has(jobId)) return false;
       endHandler.cancel(jobId);
-      return waitUntilStored();
+      return waitUntilStored(progressRow(jobId));
     },
 
     storeFailingMs: writer.failingMs,
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -110,6 +110,7 @@
     sequenceRow,
     claimedSequence: claim.sequence,
     author: `${claim.epoch}.${claim.instance}`,
+    maxRowBytes: options.maxRowBytes,
     onDeposed: () => end('another scheduler has replaced the sequence row'),
   });
   const term: Term = {
--- a/src/errors/error_responses.ts
+++ b/src/errors/error_responses.ts
@@ -70,6 +70,7 @@
   [ErrorKind.BudgetExhausted]: makeNotRunResponse(503, retryLaterMs),
   [ErrorKind.TableConflict]: makeNotRunResponse(409, retrySoonMs),
   [ErrorKind.TableUnavailable]: makeNotRunResponse(503, retryLaterMs),
+  [ErrorKind.TableRejected]: makeNotRunResponse(413),
   [ErrorKind.TableUnknown]: { status: 504, ran: ExecutionStatus.MayHaveRun },
   [ErrorKind.ObjectUnavailable]: {
     status: 503,
--- a/src/errors/failure.ts
+++ b/src/errors/failure.ts
@@ -44,6 +44,7 @@
   TableConflict: 'table-conflict',
   TableUnavailable: 'table-unavailable',
   TableUnknown: 'table-unknown',
+  TableRejected: 'table-rejected',
   ObjectUnavailable: 'object-unavailable',
   HostsUnavailable: 'hosts-unavailable',
   // The work may have run, or did run.
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -9,7 +9,7 @@
 
 import type { Clock } from '../clock/mod.ts';
 import { acceptedRow, cancellationRow, jobRow, progressRow, SubmitResult } from '../cell/mod.ts';
-import { ErrorKind, makeFailure } from '../errors/mod.ts';
+import { ErrorKind, errorResponses, makeFailure } from '../errors/mod.ts';
 import type { Failure, Outcome } from '../errors/mod.ts';
 import type { Logger } from '../logs/mod.ts';
 import { JobState } from '../model/mod.ts';
@@ -20,6 +20,7 @@
 import type { SchedulerClient } from './scheduler_client.ts';
 import { authorise } from './_routed_request.ts';
 import type { RoutedRequest } from './_routed_request.ts';
+import { isStorable, makeAcceptedJob, maxStoredJobBytes } from './_new_job.ts';
 import { makeJobWriter, RowStatus } from './job_writer.ts';
 import type { RouteTable } from './routes.ts';
 
@@ -84,26 +85,6 @@
     return response;
   }
 
-  function makeAcceptedJob(request: RoutedRequest, spec: JobSpec): AcceptedJob {
-    const { queue, organisation, jobId } = request;
-    const { priority, maxAttempts, targetFactor, targetLatencyMs, advice } = queue;
-    return {
-      id: jobId,
-      queue: queue.name,
-      organisation,
-      service: queue.service,
-      acceptedAtMs: clock.wallTime(),
-      terms: {
-        priority,
-        maxAttempts,
-        targetFactor,
-        targetLatencyMs,
-        ...(advice ? { advice } : {}),
-      },
-      spec,
-    };
-  }
-
   /** Whether a job is stored, by the scheduler or by an entry process. */
   async function isJobStored(jobId: string): Outcome<boolean> {
     const accepted = await store.read(acceptedRow(jobId));
@@ -146,7 +127,8 @@
     }
     const spec = decoded.extract() as JobSpec;
     const request = { ...received, retryAfterS: computeRetryAfterS(received.queue, spec) };
-    const job = makeAcceptedJob(request, spec);
+    const job = makeAcceptedJob(request, spec, clock.wallTime());
+    if (!isStorable(job)) return rejectTooLarge(request);
     log.info('job received', {
       event: 'job-received',
       id: request.jobId,
@@ -160,6 +142,13 @@
     return storeJob(request, job, outcome === SubmitResult.Unknown);
   }
 
+  /** Rejects a job at once that the store could never hold. */
+  function rejectTooLarge({ jobId }: RoutedRequest): ClientResponse {
+    const message = `the store does not hold the job; it takes up to ${maxStoredJobBytes} bytes`;
+    log.info('job rejected', { event: 'job-rejected', id: jobId, reason: message });
+    return respondError(errorResponses[ErrorKind.BodyTooLarge].status, message);
+  }
+
   function accept(request: RoutedRequest, storedBy: string): ClientResponse {
     log.info('job accepted', {
       event: 'job-accepted',
@@ -194,6 +183,7 @@
           kind: cause.kind,
           reason: cause.got,
         });
+        if (cause.kind === ErrorKind.TableRejected && !mayBeStored) return rejectTooLarge(request);
         return forward(request, mayBeStored ? { ...cause, kind: ErrorKind.TableUnknown } : cause);
       },
     });
--- a/src/front/front_test.ts
+++ b/src/front/front_test.ts
@@ -211,4 +211,16 @@
   assert.is((await setup.send('GET')).body, 'completed');
 });
 
+// Guards against a job that is refused again and again, though no process can ever store it.
+test('a job that is too large for the store is rejected at once and for good', async () => {
+  const { send, store, relayed } = setUp({
+    decodeJob: () => Right({ payload: 'x'.repeat(700_000), steps: [] }),
+  });
+  const response = await send('POST');
+  assert.is(response.status, 413);
+  assert.is(response.retryAfterS, undefined);
+  assert.is(relayed.length, 0);
+  assert.is(store.rows.size, 0);
+});
+
 test.run();
--- a/src/front/job_writer.ts
+++ b/src/front/job_writer.ts
@@ -2,7 +2,8 @@
  * Writes the rows of jobs that this process stores itself because no scheduler responds.
  *
  * Guards against a slow store while there is no scheduler. A partition of the store runs one transaction
- * at a time, so rows of the same partition are batched, with one transaction in flight.
+ * at a time, so rows of the same partition are batched, with one transaction in flight. A row that the
+ * store never takes fails alone.
  */
 import { Left, Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
@@ -40,13 +41,30 @@
   write(row: NewRow): Promise<RowResult>;
 }
 
-/** A transaction holds this many rows of the largest size. */
 const maxRowsPerTransaction = 15;
+/** A call holds at most 1 MB, in which values are base64. */
+const maxValueBytesPerTransaction = 700_000;
 
 function makeMissingResult(): RowResult {
   return Left(makeFailure(ErrorKind.TableUnknown, 'the transaction had no result'));
 }
 
+/** Groups rows so that each group fits into a transaction. */
+function groupRows(rows: NewRow[]): NewRow[][] {
+  const groups: NewRow[][] = [];
+  let groupBytes = Infinity;
+  rows.forEach((row) => {
+    const bytes = Buffer.byteLength(row.value);
+    groupBytes += bytes;
+    if (groupBytes > maxValueBytesPerTransaction) {
+      groups.push([]);
+      groupBytes = bytes;
+    }
+    groups.at(-1)!.push(row);
+  });
+  return groups;
+}
+
 /** Returns the rows without those that exist according to a conflict. */
 function excludeExisting(rows: NewRow[], { got }: Failure): NewRow[] {
   const existing = (got as StoredRow[]).filter(({ version, deleted }) => version > 0 && !deleted);
@@ -80,6 +98,13 @@
     while (missing.length > 0) {
       const outcome = await insertRows(missing);
       const failure = outcome.swap().toMaybe().extract();
+      if (failure?.kind === ErrorKind.TableRejected && missing.length > 1) {
+        for (const row of missing) {
+          const alone = await insertMissingRows([row]);
+          alone.forEach((result, key) => results.set(key, result));
+        }
+        return results;
+      }
       if (failure?.kind !== ErrorKind.TableConflict) {
         missing.forEach(({ key }) =>
           results.set(
@@ -106,7 +131,10 @@
       batcher = makeBatcher({
         async send(rows) {
           const distinct = [...new Map(rows.map((row) => [row.key, row])).values()];
-          const results = await insertMissingRows(distinct);
+          const results = new Map<string, RowResult>();
+          for (const group of groupRows(distinct)) {
+            (await insertMissingRows(group)).forEach((result, key) => results.set(key, result));
+          }
           return rows.map(({ key }) => results.get(key) ?? makeMissingResult());
         },
         fallback: makeMissingResult(),
--- a/src/front/job_writer_test.ts
+++ b/src/front/job_writer_test.ts
@@ -74,4 +74,26 @@
   assert.is(store.rows.size, 0);
 });
 
+// Guards against a batch of large jobs that no transaction holds.
+test('rows of the largest size that arrive together are all written', async () => {
+  const { store, writer } = setUp();
+  const keys = Array.from({ length: 16 }, (_, index) => `k${index}`);
+  const value = 'x'.repeat(65_536);
+  await Promise.all(keys.map((key) => writer.write({ ...row(key), value })));
+  assert.is(store.rows.size, 16);
+});
+
+// Guards against one large job by which all that share its batch are refused.
+test('a row that the store never takes fails alone', async () => {
+  const { writer } = setUp();
+  const large = { ...row('large'), value: 'x'.repeat(70_000) };
+  const results = await Promise.all(
+    [row('first'), row('a'), large, row('b')].map((each) => writer.write(each)),
+  );
+  assert.equal(
+    results.map((result) => result.caseOf<string>({ Left: ({ kind }) => kind, Right: String })),
+    ['new', 'new', ErrorKind.TableRejected, 'new'],
+  );
+});
+
 test.run();
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -26,6 +26,7 @@
 } from '../../platform/mod.ts';
 import type { ProcessSettings } from '../../platform/mod.ts';
 import type { HostMetrics } from './host_metrics.ts';
+import { makeHostStore } from './host_store.ts';
 import { makeHostAdvicePool } from './host_advice_pool.ts';
 import { makeCandidacy } from './candidacy.ts';
 import type { Candidacy } from './candidacy.ts';
@@ -40,7 +41,6 @@
 import { makeSchedulerMonitor } from './scheduler_monitor.ts';
 import { runForever } from './run_forever.ts';
 import { makeTermHolder } from './term_holder.ts';
-import { trackStoreHealth } from './store_health.ts';
 import { makeOperatorStateSource } from './operator_state.ts';
 
 /** Settings and dependencies of an entry process. */
@@ -84,7 +84,7 @@
  */
 export function makeHost(options: HostOptions): Host {
   const { settings, clock, random, logs, workers, adviser } = options;
-  const storeHealth = trackStoreHealth(options.store);
+  const storeHealth = makeHostStore(options.store, settings.maxRowBytes);
   const { store } = storeHealth;
   const shutdown = new AbortController();
   const ownMember = makeOwnMember(settings, clock);
@@ -142,6 +142,7 @@
         claim: { epoch: won.epoch, instance: self.instance, sequence: won.sequence },
         predecessorMayAct: won.predecessorMayAct,
         maxLeaseMs: settings.maxLeaseMs,
+        maxRowBytes: settings.maxRowBytes,
         onEnded,
       }),
   });
@@ -166,7 +167,6 @@
     onClaimWon: termHolder.begin,
     onOtherClaim: termHolder.stop,
   });
-
   election.leadership = leadership;
 
   const getRoutes = makeRouteSource({
--- a/src/host/host_test.ts
+++ b/src/host/host_test.ts
@@ -32,6 +32,23 @@
   }
 }
 
+/** Kills the scheduler, one of two processes; returns the index of the other. */
+function killScheduler({ standin, hosts }: TestCluster): number {
+  const claim = JSON.parse(standin.store.get('leadership', 'c0', 'claim')!) as { name: string };
+  const scheduler = claim.name === 'entry-1' ? 0 : 1;
+  hosts[scheduler]!.kill();
+  return 1 - scheduler;
+}
+
+async function waitForCompletion(cluster: TestCluster, path: string, host: number): Promise<void> {
+  let state: string | undefined;
+  while (state !== 'completed') {
+    ({
+      body: { state },
+    } = await cluster.send('GET', path, { host }));
+  }
+}
+
 /** Fails if two runs of a task overlap, or if a task starts again after it was done. */
 function assertSingleRuns(cluster: TestCluster): void {
   const byTask = new Map<string, ReturnType<TestCluster['starts']>>();
@@ -97,6 +114,19 @@
     assert.ok(cluster.starts().every(({ how }) => how === 'stopped'));
   }));
 
+// Guards against a scheduler that is replaced at each try to store such a job, and one that loses it.
+test('a job that is larger than a row of the store is stored, and outlives the scheduler', () =>
+  withCluster({ hosts: 2, workers: 2 }, async (cluster) => {
+    const path = `/batch/${makeJobId()}`;
+    const { spec, phases } = makeJob(1, { cpu: 10 });
+    const body = { spec, phases: Array.from({ length: 400 }, () => phases[0]) };
+    assert.is((await cluster.send('POST', path, { body })).status, 200);
+    const survivor = killScheduler(cluster);
+    await waitForCompletion(cluster, path, survivor);
+    assert.is(new Set(cluster.starts().map(({ task }) => task)).size, 400);
+    assertSingleRuns(cluster);
+  }));
+
 test('a task that fails max_attempts times fails its job', () =>
   withCluster({ hosts: 1, workers: 2 }, async (cluster) => {
     const path = `/batch/${makeJobId()}`;
@@ -135,20 +165,8 @@
       paths.map((path) => cluster.send('POST', path, { body: makeJob(4, { ms: 900 }), host: 1 })),
     );
     await cluster.waitForState(paths[0]!, 'in_progress');
-    const claim = JSON.parse(cluster.standin.store.get('leadership', 'c0', 'claim')!) as {
-      name: string;
-    };
-    const scheduler = claim.name === 'entry-1' ? 0 : 1;
-    cluster.hosts[scheduler]!.kill();
-    const survivor = 1 - scheduler;
-    for (const path of paths) {
-      let state: string | undefined;
-      while (state !== 'completed') {
-        ({
-          body: { state },
-        } = await cluster.send('GET', path, { host: survivor }));
-      }
-    }
+    const survivor = killScheduler(cluster);
+    for (const path of paths) await waitForCompletion(cluster, path, survivor);
     assertSingleRuns(cluster);
   }));
 
--- a/src/host/scheduler_client.ts
+++ b/src/host/scheduler_client.ts
@@ -16,7 +16,7 @@
 import type { Logger } from '../logs/mod.ts';
 import type { AcceptedJob, JobState } from '../model/mod.ts';
 import { makeBatcher } from '../batches/mod.ts';
-import type { Batcher } from '../batches/mod.ts';
+import type { Batcher, BatchOptions } from '../batches/mod.ts';
 import type { PeerClient } from './peers.ts';
 
 /** Dependencies of the client. */
@@ -42,9 +42,16 @@
 const backOffMs = 400;
 const claimCheckIntervalMs = 100;
 const maxRequestsPerBatch = 60;
+/** Bounds a batch of large jobs, below the size of a body that a process accepts. */
+const maxSubmissionBytes = 900_000;
+const estimatedStepBytes = 300;
 /** While these are in flight, further requests of the same kind join the next batch. */
 const maxBatchesInFlight = 2;
 
+function estimateBytes({ spec }: AcceptedJob): number {
+  return spec.payload.length + spec.steps.length * estimatedStepBytes;
+}
+
 /**
  * Makes a record of the requests in flight.
  *
@@ -124,8 +131,10 @@
   function makeRequestBatcher<Request, Result>(
     send: (address: string, requests: Request[]) => Outcome<Result[]>,
     makeFallback: (kind: ErrorKind) => Result,
+    sizes: Pick<BatchOptions<Request, Result>, 'maxSize' | 'sizeOf'> = {},
   ): Batcher<Request, Result> {
     return makeBatcher({
+      ...sizes,
       async send(requests) {
         const response = await requestRemote((target) => send(target, requests));
         return response.caseOf({
@@ -140,8 +149,10 @@
     });
   }
 
-  const submissionBatcher = makeRequestBatcher<AcceptedJob, SubmitResult>(peers.submit, (kind) =>
-    kind === ErrorKind.OutcomeUnknown ? SubmitResult.Unknown : SubmitResult.NotTaken,
+  const submissionBatcher = makeRequestBatcher<AcceptedJob, SubmitResult>(
+    peers.submit,
+    (kind) => (kind === ErrorKind.OutcomeUnknown ? SubmitResult.Unknown : SubmitResult.NotTaken),
+    { maxSize: maxSubmissionBytes, sizeOf: estimateBytes },
   );
   const stateBatcher = makeRequestBatcher<string, JobState | undefined>(
     peers.getStates,
--- a/src/host/store_health.ts
+++ b/src/host/store_health.ts
@@ -32,7 +32,7 @@
     const isFailure = result
       .swap()
       .toMaybe()
-      .filter(({ kind }) => kind !== ErrorKind.TableConflict)
+      .filter(({ kind }) => kind !== ErrorKind.TableConflict && kind !== ErrorKind.TableRejected)
       .isJust();
     consecutiveFailures = isFailure ? consecutiveFailures + 1 : 0;
     return result;
--- a/src/model/store.ts
+++ b/src/model/store.ts
@@ -36,8 +36,8 @@
  * A client of the row store.
  *
  * `transact` fails with `table-conflict` (`got` holds the current {@link StoredRow}s),
- * `table-unavailable` (certainly not applied) or `table-unknown` (it may have been applied, or may
- * still be applied later).
+ * `table-unavailable` (certainly not applied), `table-rejected` (never applied, since the store does
+ * not take such a change) or `table-unknown` (it may have been applied, or may still be applied later).
  */
 export interface Store {
   transact(change: StoreTransaction, timeoutMs?: number): Outcome<number>;
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -224,6 +224,11 @@
   return `${getStepName(run.step)}.${run.index}`;
 }
 
+/** Returns the id of the job of a task with this name. */
+export function getJobId(taskName: string): string {
+  return taskName.split('.', 1)[0]!;
+}
+
 /** Formats the key of a run within its worker's runs from the task name and the attempt. */
 export function formatRunKey({ task, attempt }: { task: string; attempt: number }): string {
   return `${task}#${attempt}`;
--- a/src/testing/fake_store.ts
+++ b/src/testing/fake_store.ts
@@ -24,8 +24,26 @@
   return `${table}/${part}/${key}`;
 }
 
-/** Makes an empty fake store. */
-export function makeFakeStore(): FakeStore {
+/** Limits of a call, in bytes of UTF-8 before the encoding in base64, and in entries. */
+const maxEntries = 100;
+const maxCallBytes = 1_000_000;
+const base64Factor = 4 / 3;
+
+function isWithinLimits(
+  { expected, writes, deletes }: StoreTransaction,
+  maxRowBytes: number,
+): boolean {
+  const sizes = writes.map(({ value }) => Buffer.byteLength(value));
+  const total = sizes.reduce((sum, size) => sum + size, 0);
+  return (
+    expected.length + writes.length + deletes.length <= maxEntries &&
+    total * base64Factor <= maxCallBytes &&
+    sizes.every((size) => size <= maxRowBytes)
+  );
+}
+
+/** Makes an empty fake store, which rejects transactions beyond the limits of the platform's store. */
+export function makeFakeStore({ maxRowBytes = 65_536 } = {}): FakeStore {
   const rows = new Map<string, StoredRow>();
   let lateTransactions: StoreTransaction[] = [];
   let version = 0;
@@ -57,6 +75,9 @@
     getValue: (table, key) =>
       [...rows.values()].find((row) => row.table === table && row.key === key)?.value,
     async transact(transaction) {
+      if (!isWithinLimits(transaction, maxRowBytes)) {
+        return failWith(ErrorKind.TableRejected, 'over a limit', { got: 400 });
+      }
       const outcome = nextOutcome();
       if (outcome === 'rejected') return failWith(ErrorKind.TableUnavailable, 'rejected');
       if (outcome === 'late') lateTransactions.push(structuredClone(transaction));
--- a/src/testing/fake_term.ts
+++ b/src/testing/fake_term.ts
@@ -56,6 +56,7 @@
     },
     predecessorMayAct: false,
     maxLeaseMs: 6_000,
+    maxRowBytes: 65_536,
     onEnded: () => undefined,
   });
 }
