Give the reservation of a job back when the job ends or cannot use it

Cause: capacity reserved for a step is released by the next placement of the same step only, and a step of an ended job is never placed. Ruled out: the request for tickets that is still in flight (what it is expected to use is given back with its answer), and runs (released at their end).

Change: the end of a job, however it comes, releases the reservations of its steps; a pass releases reservations that were not used within 250 ms after the answer to their request (the organisation at its limit or over its share, a step too late to be tried, a job set aside, advice no longer configured). A reservation names the worker itself: by its id, the release was credited to a worker that had registered anew, over whose capacity tasks could start then. Of the same class: a request for tickets that throws kept its slot at the host and left its step waiting for an answer; a request to the scheduler that throws counted as in flight; a failed deletion that throws kept its job from being deleted.

--- a/src/cell/_pass_runner.ts
+++ b/src/cell/_pass_runner.ts
@@ -85,10 +85,15 @@
 
   async function requestTickets(request: PendingAdviceRequest<AdviceSlot>): Promise<void> {
     const requestedAtMs = clock.now();
-    const granted = await advicePool.requestTickets(request.slot, {
-      step: getStepName(request.step),
-      workers: request.workers.map(({ entry }) => entry.id),
-    });
+    const granted = await advicePool
+      .requestTickets(request.slot, {
+        step: getStepName(request.step),
+        workers: request.workers.map(({ entry }) => entry.id),
+      })
+      .catch((error: unknown) => {
+        logFailure(log, 'an advice request')(error);
+        return undefined;
+      });
     applyTickets(request, granted, requestedAtMs);
     schedule();
   }
--- a/src/cell/_retention.ts
+++ b/src/cell/_retention.ts
@@ -35,8 +35,9 @@
 
   async function deleteJob({ accepted: { id }, hasEntryRows }: Job): Promise<void> {
     deletingIds.add(id);
-    const isDeleted = !hasEntryRows || (await deleteEntryRows(id));
-    deletingIds.delete(id);
+    const isDeleted = await (hasEntryRows ? deleteEntryRows(id) : Promise.resolve(true)).finally(
+      () => deletingIds.delete(id),
+    );
     if (!isDeleted) return;
     writer.markDirty(acceptedRow(id), () => undefined);
     writer.markDirty(progressRow(id), () => undefined);
--- a/src/cell/advice_pool.ts
+++ b/src/cell/advice_pool.ts
@@ -121,11 +121,12 @@
 
     async requestTickets({ host, expectedMs }, request) {
       const timeoutMs = expectedMs * timeoutFactor + timeoutMarginMs;
-      const result = await askViaHost(host, { ...request, timeoutMs });
       const load = getLoad(host);
-      load.requests -= 1;
-      if (expectedMs >= longRequestThresholdMs) load.longRequests -= 1;
-      else load.shortRequestsMs -= expectedMs;
+      const result = await askViaHost(host, { ...request, timeoutMs }).finally(() => {
+        load.requests -= 1;
+        if (expectedMs >= longRequestThresholdMs) load.longRequests -= 1;
+        else load.shortRequestsMs -= expectedMs;
+      });
       return result.caseOf<GrantedTickets | undefined>({
         Left: () => {
           load.backoffUntilMs = clock.now() + failedHostBackoffMs;
--- a/src/cell/advice_pool_test.ts
+++ b/src/cell/advice_pool_test.ts
@@ -75,4 +75,15 @@
   assert.is(pool.acquire(8)!.host, slot.host);
 });
 
+// Guards against a host that gets no more requests since one of them ended unexpectedly.
+test('a slot is released when sending its request throws', async () => {
+  const pool = makeAdvicePool({
+    clock: systemClock,
+    hosts: () => ['h1'],
+    askViaHost: () => Promise.reject(new Error('unexpected')),
+  });
+  await pool.requestTickets(pool.acquire(800)!, { step: 's', workers: [] }).catch(() => undefined);
+  assert.ok(pool.acquire(800));
+});
+
 test.run();
--- a/src/host/scheduler_client.ts
+++ b/src/host/scheduler_client.ts
@@ -121,9 +121,10 @@
     const result = await Promise.race<Either<Failure, Result[]>>([
       send(target),
       failWhenUnresponsive(target, requestEnded.signal),
-    ]);
-    requestEnded.abort();
-    endRequest();
+    ]).finally(() => {
+      requestEnded.abort();
+      endRequest();
+    });
     return result.ifLeft(backOff);
   }
 
--- a/src/scheduler/_place_step.ts
+++ b/src/scheduler/_place_step.ts
@@ -123,9 +123,8 @@
     recordHold(pass, step.job, HoldReason.NotAllowed);
     return;
   }
-  const workers = new Map([...counts].map(([worker, count]) => [worker.entry.id, count]));
   const request = { step, workers: [...counts.keys()], wantedTasks, terms };
-  if (requestTickets(pass, request)) addReservation(pass.state, step, { workers });
+  if (requestTickets(pass, request)) addReservation(pass.state, step, { workers: counts });
 }
 
 /** Selects the eligible workers among the given ids that satisfy the predicate. */
--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -15,6 +15,7 @@
 import { placeStep } from './_place_step.ts';
 import { rankSteps } from './_ranking.ts';
 import { isSchedulable } from './placement.ts';
+import { releaseUnusedReservations } from './resource_accounting.ts';
 import { computeFairShares } from './shares.ts';
 import type { CellState, Step } from './state.ts';
 
@@ -65,6 +66,7 @@
   inputs: DecisionInputs<Slot>,
 ): Decisions<Slot> {
   const { configuration, nowMs, evacuated } = inputs;
+  releaseUnusedReservations(state, nowMs);
   const configurationIndex = {
     queues: new Map(configuration.queues.map((queue) => [queue.name, queue])),
     organisations: new Map(
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -6,7 +6,7 @@
 import { forEachInRanges } from './_ranges.ts';
 import type { NumberRange } from './_ranges.ts';
 import { computeCriticalPathMs } from './rank.ts';
-import { allocateRun, releaseRun } from './resource_accounting.ts';
+import { allocateRun, releaseReservation, releaseRun } from './resource_accounting.ts';
 import { listAffectedTasks, makeRun, recordCheckpoint } from './state.ts';
 import type { CellState, Job, Run, Step, Task, Worker } from './state.ts';
 import { makeWait } from './waiting.ts';
@@ -147,6 +147,7 @@
   job.state = terminalState;
   job.endedAtMs = nowMs;
   state.activeJobs.delete(job);
+  job.occurrences.forEach((steps) => steps.forEach((step) => releaseReservation(state, step)));
 }
 
 /**
--- a/src/scheduler/resource_accounting.ts
+++ b/src/scheduler/resource_accounting.ts
@@ -41,15 +41,11 @@
   changeUsage(state, run.step.job.accepted.organisation, multiplyResources(run.step.spec.need, -1));
 }
 
-function changeReserved(
-  state: CellState,
-  step: Step,
-  reservation: Reservation,
-  sign: 1 | -1,
-): void {
-  reservation.workers.forEach((count, id) => {
-    const worker = state.workers.get(id);
-    if (!worker) return;
+/** A pass that uses the tickets follows their arrival sooner than this. */
+const maxUnusedReservationMs = 250;
+
+function changeReserved(step: Step, reservation: Reservation, sign: 1 | -1): void {
+  reservation.workers.forEach((count, worker) => {
     worker.reserved = addResources(
       worker.reserved,
       multiplyResources(getTaskAllocation(step), sign * count),
@@ -61,12 +57,26 @@
 /** Reserves capacity for a step. */
 export function addReservation(state: CellState, step: Step, reservation: Reservation): void {
   step.reservation = reservation;
-  changeReserved(state, step, reservation, 1);
+  state.reservedSteps.add(step);
+  changeReserved(step, reservation, 1);
 }
 
 /** Releases the capacity reserved for a step. */
 export function releaseReservation(state: CellState, step: Step): void {
   if (!step.reservation) return;
-  changeReserved(state, step, step.reservation, -1);
+  changeReserved(step, step.reservation, -1);
+  state.reservedSteps.delete(step);
   delete step.reservation;
 }
+
+/**
+ * Releases reservations that no pass has used after their tickets arrived: a limit, a share or the
+ * rank of the step keeps it from being placed.
+ */
+export function releaseUnusedReservations(state: CellState, nowMs: number): void {
+  state.reservedSteps.forEach((step) => {
+    const answeredAtMs = step.reservation?.answeredAtMs;
+    if (answeredAtMs === undefined || nowMs - answeredAtMs < maxUnusedReservationMs) return;
+    releaseReservation(state, step);
+  });
+}
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -78,8 +78,10 @@
 
 /** Capacity on allowed workers, reserved for tasks of a step while new tickets are requested. */
 export interface Reservation {
-  /** Number of tasks by worker id. */
-  workers: Map<string, number>;
+  /** Number of tasks by worker; a worker that registers anew is another one here. */
+  workers: Map<Worker, number>;
+  /** Monotonic time at which the tickets arrived or the request failed; undefined before. */
+  answeredAtMs?: number;
 }
 
 /** A step of one occurrence of a job. */
@@ -174,6 +176,8 @@
   workers: Map<string, Worker>;
   /** Resources that each organisation's runs use, by name. */
   usage: Map<string, Resources>;
+  /** Steps that have a reservation. */
+  reservedSteps: Set<Step>;
   /** Fraction of workers that the advice service allows, by queue, as learned from its responses. */
   allowedFractions: Map<string, number>;
 }
@@ -190,6 +194,7 @@
     activeJobs: new Set(),
     workers: new Map(),
     usage: new Map(),
+    reservedSteps: new Set(),
     allowedFractions: new Map(),
   };
 }
--- a/src/scheduler/tickets.ts
+++ b/src/scheduler/tickets.ts
@@ -129,6 +129,7 @@
   const { step, workers } = request;
   const { advice } = step;
   advice.isPending = false;
+  if (step.reservation) step.reservation.answeredAtMs = nowMs;
   step.job.skipUntilMs = -Infinity;
   adjustExpectedCpu(request, -1);
   if (!tickets) {
