--- a/src/calls/json_client.ts
+++ b/src/calls/json_client.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from '../clock/mod.ts';
 import { makeConnectionPool } from '../exchange/mod.ts';
+import type { ConnectionPool } from '../exchange/mod.ts';
 
 /** A response with any status. */
 export interface JsonResponse {
@@ -51,6 +52,28 @@
   }
 }
 
+/** Makes the pool of an address; undefined if no connection can be made to such an address. */
+function tryMakePool(
+  hostAndPort: string,
+  options: { connections: number; clock: Clock },
+): ConnectionPool | undefined {
+  const [address = '', port] = hostAndPort.split(':');
+  try {
+    return makeConnectionPool({ address, port: Number(port), connectTimeoutMs, ...options });
+  } catch {
+    // The reason is in the response to each request.
+    return undefined;
+  }
+}
+
+function makeUnreachableClient(hostAndPort: string): JsonClient {
+  const reason = `expected an address such as 10.0.0.7:8080, got ${hostAndPort}`;
+  return {
+    request: () => Promise.resolve({ unsent: true, isConnectionRefused: false, reason }),
+    close: () => undefined,
+  };
+}
+
 /**
  * Makes a client for one address (`ip:port`) that opens at most the given number of connections.
  *
@@ -62,14 +85,8 @@
   hostAndPort: string,
   { connections, clock }: { connections: number; clock: Clock },
 ): JsonClient {
-  const [address = '', port] = hostAndPort.split(':');
-  const pool = makeConnectionPool({
-    address,
-    port: Number(port),
-    clock,
-    connections,
-    connectTimeoutMs,
-  });
+  const pool = tryMakePool(hostAndPort, { connections, clock });
+  if (!pool) return makeUnreachableClient(hostAndPort);
   return {
     async request({ body, ...request }) {
       const result = await pool.exchange({
--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -119,12 +119,17 @@
     link.run(controller.signal).catch(logFailure(log, 'a worker link'));
   }
 
+  /** Closes the connections to a worker's address; of some workers only the id is known. */
+  function disconnect({ entry }: Worker): void {
+    if (entry.address !== '') workers.disconnect(entry);
+  }
+
   function removeWorker(worker: Worker): void {
-    const { id, address } = worker.entry;
+    const { id } = worker.entry;
     links.get(id)?.controller.abort();
     links.delete(id);
     state.workers.delete(id);
-    if (address !== '') workers.disconnect(worker.entry);
+    disconnect(worker);
   }
 
   function upsertWorker(entry: WorkerEntry): void {
@@ -133,6 +138,7 @@
       if (entry.isDraining && !worker.entry.isDraining) {
         log.info('worker is draining', { event: 'worker-draining', worker: entry.id });
       }
+      if (entry.address !== worker.entry.address) disconnect(worker);
       Object.assign(worker, { entry, isRegistered: true });
       updateFreeCapacity(worker);
     } else {
--- a/src/host/host_test.ts
+++ b/src/host/host_test.ts
@@ -127,6 +127,29 @@
     assertSingleRuns(cluster);
   }));
 
+// Guards against a scheduler that ends or no longer follows the workers by an entry of another writer.
+test('odd entries among those of the workers neither stop the jobs nor end the scheduler', () =>
+  withCluster({ hosts: 1, workers: 2 }, async (cluster) => {
+    const { store, workers } = cluster.standin;
+    const good = workers[0]!.entry();
+    store.put('servers', 'i-port', { ...good, address: '127.0.0.1:99999' });
+    store.put('servers', 'i-large', { ...good, capacity: { cpu: 1e300, mem_mb: 1e300 } });
+    store.put('servers', 'i-born', { ...good, born: -1 });
+    store.putText('servers', 'i-nested', '['.repeat(40_000) + ']'.repeat(40_000));
+    store.putText('servers', 'i-bytes', '\u0000\ufffd{');
+    const path = `/batch/${makeJobId()}`;
+    assert.is((await cluster.send('POST', path, { body: makeJob(40) })).status, 200);
+    await cluster.waitForState(path, 'completed');
+    // The watch goes on: the first worker leaves, and the second takes what follows.
+    store.put('servers', workers[0]!.id, { ...good, state: 'draining' });
+    const later = `/batch/${makeJobId()}`;
+    await cluster.send('POST', later, { body: makeJob(4) });
+    await cluster.waitForState(later, 'completed');
+    const claim = JSON.parse(store.get('leadership', 'c0', 'claim')!) as { epoch: number };
+    assert.is(claim.epoch, 1, 'the scheduler is still the first');
+    assertSingleRuns(cluster);
+  }));
+
 test('a task that fails max_attempts times fails its job', () =>
   withCluster({ hosts: 1, workers: 2 }, async (cluster) => {
     const path = `/batch/${makeJobId()}`;
