--- a/src/cell/_dirty_rows.ts
+++ b/src/cell/_dirty_rows.ts
@@ -37,11 +37,13 @@
   markFirst(row: RowKey, source: RowSource): void;
   /** Number of the last change. */
   generation(): number;
-  /** Whether any rows wait for a transaction, or any of those that do not precede others. */
+  /** Whether no row waits for a transaction. */
   isEmpty(): boolean;
+  /** Whether any row waits for a transaction that was not marked as first. */
   hasOrdinary(): boolean;
   /** Takes as many rows as a transaction holds. */
   takeBatch(): RowBatch;
+  /** Notifies those that wait for the rows of a batch. */
   handleStored(batch: RowBatch): void;
   /** Marks the rows of a rejected transaction again, or holds back the row of one alone. */
   handleRejected(batch: RowBatch, reason: unknown): void;
--- a/src/cell/batch_writer.ts
+++ b/src/cell/batch_writer.ts
@@ -114,10 +114,13 @@
 
   function resolveWaiters(): void {
     const oldestGeneration = dirtyRows.oldestGeneration();
-    const isReady = (waiter: Waiter) =>
-      waiter.generation < oldestGeneration && !waitsForHeldRow(waiter);
-    const ready = waiters.filter(isReady);
-    waiters = waiters.filter((waiter) => !ready.includes(waiter));
+    const ready: Waiter[] = [];
+    const waiting: Waiter[] = [];
+    waiters.forEach((waiter) => {
+      const isReady = waiter.generation < oldestGeneration && !waitsForHeldRow(waiter);
+      (isReady ? ready : waiting).push(waiter);
+    });
+    waiters = waiting;
     ready.forEach(({ resolve }) => resolve(true));
   }
 
--- a/src/scheduler/_place_step.ts
+++ b/src/scheduler/_place_step.ts
@@ -49,6 +49,7 @@
 function limitFirstStarts({ job, spec, tasks }: Step, pendingTasks: number[]): number[] {
   const isFirstStart = (index: number) => tasks[index]!.attempt === 0;
   let allowed = Math.max(0, maxStartedTasks - job.startedTasks);
+  if (pendingTasks.length <= allowed) return pendingTasks;
   if (pendingTasks.filter(isFirstStart).length <= allowed) return pendingTasks;
   // A gang that is wider than the maximum runs while nothing else of its job does.
   if (spec.gang) return job.startedTasks === 0 ? pendingTasks : [];
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -192,7 +192,10 @@
     job.endedAtMs = nowMs;
     state.activeJobs.delete(job);
   }
-  (record.completed ?? []).forEach((range) => completeOccurrences(job, range));
+  (record.completed ?? []).forEach((range) => {
+    completeOccurrences(job, range);
+    job.hasConfirmedStart = true;
+  });
   record.occurrences.forEach(([occurrence, stepRecords, done = []]) => {
     const steps = ensureSteps(job, occurrence);
     stepRecords.forEach((tasks, stepIndex) => {
