Encode the progress of a job in one pass over its tasks

Encoding the progress of a job of 20 tasks took 76 to 86 us, 42 to 45 us on.

Change: one loop makes the records and the ranges, without lists in between; the size of a value is taken once, and waiters ask for held rows only if there are any.

Measured: 35 to 40 us. In 145,736 encodings of jobs in random sequences (31,177 with done ranges, 306 with complete occurrences, 40,398 of ended jobs) the text is the same as before the change.

--- a/src/cell/_dirty_rows.ts
+++ b/src/cell/_dirty_rows.ts
@@ -71,8 +71,9 @@
 /** A row that the store rejects is sent again after this time; its content may have changed. */
 const heldBackMs = 5_000;
 
-function getTransactionBytes(text: string): number {
-  return Math.ceil(Buffer.byteLength(text) / 3) * 4 + rowEnvelopeBytes;
+/** Returns the size in a transaction of a row whose value has this size. */
+function getTransactionBytes(valueBytes: number): number {
+  return Math.ceil(valueBytes / 3) * 4 + rowEnvelopeBytes;
 }
 
 /**
@@ -151,8 +152,9 @@
       let bytes = 0;
       for (const [name, entry] of [...firstRows, ...ordinaryRows]) {
         const text = entry.source();
-        rows += countRows(Buffer.byteLength(text ?? ''), maxRowBytes);
-        bytes += getTransactionBytes(text ?? '');
+        const valueBytes = Buffer.byteLength(text ?? '');
+        rows += countRows(valueBytes, maxRowBytes);
+        bytes += getTransactionBytes(valueBytes);
         const isFull = rows > maxRowsPerTransaction || bytes > maxBytesPerTransaction;
         if (batch.rows.size > 0 && (isFull || batch.rows.size >= rowLimit)) break;
         firstRows.delete(name);
@@ -191,7 +193,11 @@
     oldestGeneration: () =>
       Math.min(Infinity, ...[...ordinaryRows.values()].map((entry) => entry.generation)),
 
-    isHeldBack: (names, upTo) =>
-      [...heldRows].some(([name, held]) => held.generation <= upTo && (!names || names.has(name))),
+    isHeldBack(names, upTo) {
+      if (heldRows.size === 0) return false;
+      const isAwaited = ([name, held]: [string, DirtyRow]) =>
+        held.generation <= upTo && (!names || names.has(name));
+      return [...heldRows].some(isAwaited);
+    },
   };
 }
--- a/src/scheduler/_ranges.ts
+++ b/src/scheduler/_ranges.ts
@@ -6,19 +6,15 @@
 export type NumberRange = [first: number, last: number];
 
 /**
- * Groups ascending numbers into ranges.
+ * Adds a number that is above all numbers in the ranges.
  *
  * @example
- * toRanges([0, 1, 2, 7]); // [[0, 2], [7, 7]]
+ * extendRanges([[0, 2]], 3); // [[0, 3]]
  */
-export function toRanges(ascending: Iterable<number>): NumberRange[] {
-  const ranges: NumberRange[] = [];
-  for (const value of ascending) {
-    const range = ranges.at(-1);
-    if (range && range[1] === value - 1) range[1] = value;
-    else ranges.push([value, value]);
-  }
-  return ranges;
+export function extendRanges(ranges: NumberRange[], value: number): void {
+  const range = ranges.at(-1);
+  if (range && range[1] === value - 1) range[1] = value;
+  else ranges.push([value, value]);
 }
 
 /** Calls a function for each number in the ranges. */
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -7,7 +7,7 @@
  */
 import { isTerminalState, JobState } from '../model/mod.ts';
 import { completeOccurrences, ensureSteps } from './jobs.ts';
-import { forEachInRanges, toRanges } from './_ranges.ts';
+import { extendRanges, forEachInRanges } from './_ranges.ts';
 import type { NumberRange } from './_ranges.ts';
 import { allocateRun } from './resource_accounting.ts';
 import { makeRun, makeWorker } from './state.ts';
@@ -55,54 +55,65 @@
   ];
 }
 
-function isDoneWithoutRuns({ isDone, runs }: Task): boolean {
-  return isDone && runs.length === 0;
+/** The tasks of a step as stored: one by one, and as ranges. */
+interface StepRecord {
+  tasks: TaskRecord[];
+  done: NumberRange[];
 }
 
-function listDoneTasks(tasks: Task[]): NumberRange[] {
-  const indexes = [...tasks.keys()].filter((index) => isDoneWithoutRuns(tasks[index]!));
-  return toRanges(indexes);
-}
-
-function listCompletedOccurrences(job: Job): NumberRange[] {
-  const { firstOpenOccurrence, completedOccurrences } = job;
-  const below: NumberRange[] = firstOpenOccurrence > 0 ? [[0, firstOpenOccurrence - 1]] : [];
-  return [...below, ...toRanges([...completedOccurrences].sort((a, b) => a - b))];
+function encodeStep({ tasks }: Step): StepRecord {
+  const record: StepRecord = { tasks: [], done: [] };
+  tasks.forEach((task, index) => {
+    if (task.isDone && task.runs.length === 0) extendRanges(record.done, index);
+    else if (task.attempt > 0) record.tasks.push(encodeTask(task, index));
+  });
+  return record;
 }
 
-function encodeSteps(steps: Step[]): TaskRecord[][] {
-  const isKept = (task: Task) => task.attempt > 0 && !isDoneWithoutRuns(task);
-  return steps.map(({ tasks }) =>
-    tasks.flatMap((task, index) => (isKept(task) ? [encodeTask(task, index)] : [])),
-  );
+function listCompletedOccurrences({
+  firstOpenOccurrence,
+  completedOccurrences,
+}: Job): NumberRange[] {
+  const ranges: NumberRange[] = firstOpenOccurrence > 0 ? [[0, firstOpenOccurrence - 1]] : [];
+  const ascending = [...completedOccurrences].sort((a, b) => a - b);
+  ascending.forEach((occurrence) => extendRanges(ranges, occurrence));
+  return ranges;
 }
 
 /** Leaves out the checkpoints beyond the total length that is stored. */
-function limitCheckpoints(records: TaskRecord[]): void {
+function limitCheckpoints(occurrences: OccurrenceRecord[]): void {
   let totalLength = 0;
-  records.forEach((record) => {
-    totalLength += record[4].length;
-    if (totalLength > maxCheckpointLength) record[4] = '';
-  });
+  occurrences.forEach(([, steps]) =>
+    steps.forEach((tasks) =>
+      tasks.forEach((record) => {
+        totalLength += record[4].length;
+        if (totalLength > maxCheckpointLength) record[4] = '';
+      }),
+    ),
+  );
 }
 
-function encodeOpenOccurrences(job: Job): OccurrenceRecord[] {
-  return [...job.occurrences].flatMap(([occurrence, steps]): OccurrenceRecord[] => {
-    const records = encodeSteps(steps);
-    const done = steps.map(({ tasks }) => listDoneTasks(tasks));
-    if (done.some((ranges) => ranges.length > 0)) return [[occurrence, records, done]];
-    return records.some((tasks) => tasks.length > 0) ? [[occurrence, records]] : [];
+function encodeOpenOccurrences({ occurrences }: Job): OccurrenceRecord[] {
+  const records: OccurrenceRecord[] = [];
+  occurrences.forEach((steps, occurrence) => {
+    const stepRecords = steps.map(encodeStep);
+    const tasks = stepRecords.map((record) => record.tasks);
+    const done = stepRecords.map((record) => record.done);
+    if (done.some((ranges) => ranges.length > 0)) records.push([occurrence, tasks, done]);
+    else if (tasks.some(({ length }) => length > 0)) records.push([occurrence, tasks]);
   });
+  return records;
 }
 
 /** Encodes the runs of a job in a terminal state that still hold resources; nothing else matters. */
-function encodeRemainingRuns(job: Job): OccurrenceRecord[] {
-  return [...job.occurrences].flatMap(([occurrence, steps]): OccurrenceRecord[] => {
-    const records = encodeSteps(steps).map((tasks) =>
-      tasks.filter(([, , , , , runs]) => runs.length > 0),
-    );
-    return records.some((tasks) => tasks.length > 0) ? [[occurrence, records]] : [];
+function encodeRemainingRuns({ occurrences }: Job): OccurrenceRecord[] {
+  const records: OccurrenceRecord[] = [];
+  occurrences.forEach((steps, occurrence) => {
+    const hasRuns = ([, , , , , runs]: TaskRecord) => runs.length > 0;
+    const tasks = steps.map((step) => encodeStep(step).tasks.filter(hasRuns));
+    if (tasks.some(({ length }) => length > 0)) records.push([occurrence, tasks]);
   });
+  return records;
 }
 
 /**
@@ -114,7 +125,7 @@
 export function encodeProgress(job: Job): JobRecord {
   const hasEnded = isTerminalState(job.state);
   const occurrences = hasEnded ? encodeRemainingRuns(job) : encodeOpenOccurrences(job);
-  limitCheckpoints(occurrences.flatMap(([, steps]) => steps.flat()));
+  limitCheckpoints(occurrences);
   const completed = hasEnded ? [] : listCompletedOccurrences(job);
   return {
     state: job.state,
