Release unused reservations at the end of a pass

A pass that comes later than 250 ms after an answer released the reservation before it could place the step, so that others took the capacity in rank order and the tickets were lost.

--- a/src/scheduler/decide.ts
+++ b/src/scheduler/decide.ts
@@ -66,7 +66,6 @@
   inputs: DecisionInputs<Slot>,
 ): Decisions<Slot> {
   const { configuration, nowMs, evacuated } = inputs;
-  releaseUnusedReservations(state, nowMs);
   const configurationIndex = {
     queues: new Map(configuration.queues.map((queue) => [queue.name, queue])),
     organisations: new Map(
@@ -115,5 +114,7 @@
   });
   pass.isUrgent = freshJobCount === 0;
   placeTooLateSteps(pass, steps[Urgency.TooLate]);
+  // A late pass still gives each step the capacity that is reserved for it.
+  releaseUnusedReservations(state, nowMs);
   return decisions;
 }
