Count done tasks as a start when an occurrence is ranked

Their attempts are no longer stored, so that after a takeover the rest of an occurrence of a repeated job with only done tasks counted as not started, and was placed behind other work when late. The new test failed before, and passes.

--- a/src/scheduler/rank.ts
+++ b/src/scheduler/rank.ts
@@ -59,7 +59,8 @@
 function hasAttempts({ job, occurrence }: Step): boolean {
   if (!job.accepted.spec.repetition) return job.state !== JobState.Queued;
   const steps = job.occurrences.get(occurrence) ?? [];
-  return steps.some(({ tasks }) => tasks.some(({ attempt }) => attempt > 0));
+  // The attempts of done tasks are not stored.
+  return steps.some(({ tasks }) => tasks.some(({ attempt, isDone }) => attempt > 0 || isDone));
 }
 
 function classifyUrgency(step: Step, objectiveMs: number, nowMs: number): Urgency {
--- a/src/scheduler/records_test.ts
+++ b/src/scheduler/records_test.ts
@@ -12,6 +12,7 @@
 } from '../testing/fake_cell.ts';
 import { decideStarts } from './decide.ts';
 import { addJob, endRun } from './jobs.ts';
+import { computeRank, Urgency } from './rank.ts';
 import { encodeProgress, restoreProgress } from './records.ts';
 import type { JobRecord } from './records.ts';
 import { getTaskName } from './state.ts';
@@ -92,6 +93,19 @@
   }
 });
 
+// Guards against work that a takeover puts behind other work, though a part of it is done.
+test('an occurrence of which only done tasks are stored still counts as started', () => {
+  const accepted = acceptedJob('a', [stepSpec(), stepSpec({ after: [0] })], {
+    repetition: { count: 1, startAtMs: 0, intervalMs: 0 },
+  });
+  const state = cellWithWorkers(1);
+  const job = submit(state, accepted);
+  completeTasks(state, 1);
+  const [, second] = restore(job, accepted).job.occurrences.get(0)!;
+  const lateMs = accepted.terms.targetFactor * 2_000 + accepted.terms.targetLatencyMs;
+  assert.is(computeRank(second!, accepted.terms, lateMs).urgency, Urgency.InTime);
+});
+
 // Guards against memory and records that grow for as long as a repeated job goes on.
 test('the occurrences of a repeated job are dropped when they are complete', () => {
   const accepted = acceptedJob('a', [stepSpec()], {
