--- a/src/calls/json_client.ts
+++ b/src/calls/json_client.ts
@@ -1,6 +1,8 @@
 /**
  * A client for JSON requests over HTTP.
  */
+import { Either } from 'purify-ts';
+
 import type { Clock } from '../clock/mod.ts';
 import { makeConnectionPool } from '../exchange/mod.ts';
 import type { ConnectionPool } from '../exchange/mod.ts';
@@ -52,22 +54,19 @@
   }
 }
 
-/** Makes the pool of an address; undefined if no connection can be made to such an address. */
-function tryMakePool(
+/** Makes the pool of an address; fails if no connection can be made to such an address. */
+function makePool(
   hostAndPort: string,
   options: { connections: number; clock: Clock },
-): ConnectionPool | undefined {
+): Either<Error, ConnectionPool> {
   const [address = '', port] = hostAndPort.split(':');
-  try {
-    return makeConnectionPool({ address, port: Number(port), connectTimeoutMs, ...options });
-  } catch {
-    // The reason is in the response to each request.
-    return undefined;
-  }
+  return Either.encase(() =>
+    makeConnectionPool({ address, port: Number(port), connectTimeoutMs, ...options }),
+  );
 }
 
-function makeUnreachableClient(hostAndPort: string): JsonClient {
-  const reason = `expected an address such as 10.0.0.7:8080, got ${hostAndPort}`;
+/** Makes a client whose requests all fail for the same reason. */
+function makeUnreachableClient(reason: string): JsonClient {
   return {
     request: () => Promise.resolve({ unsent: true, isConnectionRefused: false, reason }),
     close: () => undefined,
@@ -85,8 +84,13 @@
   hostAndPort: string,
   { connections, clock }: { connections: number; clock: Clock },
 ): JsonClient {
-  const pool = tryMakePool(hostAndPort, { connections, clock });
-  if (!pool) return makeUnreachableClient(hostAndPort);
+  return makePool(hostAndPort, { connections, clock }).caseOf({
+    Left: ({ message }) => makeUnreachableClient(`the address ${hostAndPort}: ${message}`),
+    Right: makePooledClient,
+  });
+}
+
+function makePooledClient(pool: ConnectionPool): JsonClient {
   return {
     async request({ body, ...request }) {
       const result = await pool.exchange({
--- a/src/cell/_dirty_rows.ts
+++ b/src/cell/_dirty_rows.ts
@@ -18,7 +18,7 @@
 export interface DirtyRow {
   row: RowKey;
   source: RowSource;
-  /** Number of its first change; changes are numbered in order. */
+  /** Number of its first change that waits; changes are numbered in order. */
   generation: number;
   onStored?: (() => void) | undefined;
   /** It precedes the other rows. */
@@ -51,8 +51,7 @@
   releaseHeldRows(): void;
   /** Number of the oldest change that waits for a transaction. */
   oldestGeneration(): number;
-  /** Whether any of the named rows, or any row at all, is held back since a change up to the given one. */
-  isHeldBack(names: Set<string> | undefined, generation: number): boolean;
+  isHeldBack(row: RowKey): boolean;
 }
 
 /** Limits and dependencies of {@link makeDirtyRows}. */
@@ -108,11 +107,13 @@
     });
   }
 
+  /** Holds a row back; one that precedes others is dropped, since it is marked again regularly. */
   function holdBack(name: string, entry: DirtyRow, reason: unknown): void {
-    const latest = ordinaryRows.get(name) ?? entry;
-    ordinaryRows.delete(name);
-    const untilMs = clock.now() + heldBackMs;
-    heldRows.set(name, { ...latest, generation: entry.generation, untilMs });
+    if (!entry.isFirst) {
+      const latest = ordinaryRows.get(name) ?? entry;
+      ordinaryRows.delete(name);
+      heldRows.set(name, { ...latest, untilMs: clock.now() + heldBackMs });
+    }
     const { table, part, key } = entry.row;
     log.error('the store rejects a row, which is held back', {
       event: 'row-rejected',
@@ -186,18 +187,14 @@
       heldRows.forEach(({ untilMs, ...entry }, name) => {
         if (untilMs > clock.now()) return;
         heldRows.delete(name);
-        ordinaryRows.set(name, entry);
+        generation += 1;
+        ordinaryRows.set(name, { ...entry, generation });
       });
     },
 
     oldestGeneration: () =>
       Math.min(Infinity, ...[...ordinaryRows.values()].map((entry) => entry.generation)),
 
-    isHeldBack(names, upTo) {
-      if (heldRows.size === 0) return false;
-      const isAwaited = ([name, held]: [string, DirtyRow]) =>
-        held.generation <= upTo && (!names || names.has(name));
-      return [...heldRows].some(isAwaited);
-    },
+    isHeldBack: (row) => heldRows.has(getRowName(row)),
   };
 }
--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -53,6 +53,23 @@
 export function makeFleet(term: Term, endHandler: RunEndHandler): Fleet {
   const { state, clock, log, writer, workers, claim } = term;
   const links = new Map<string, LinkHandle>();
+  /** Keys of registry rows that name no usable worker. */
+  const unusableEntries = new Set<string>();
+
+  /** Decodes an entry; an unusable one is logged once, until its row is deleted or usable again. */
+  function decodeEntry(row: StoredRow): WorkerEntry | undefined {
+    const entry = row.deleted ? undefined : term.decodeWorker(row);
+    if (entry || row.deleted) unusableEntries.delete(row.key);
+    else if (!unusableEntries.has(row.key)) {
+      unusableEntries.add(row.key);
+      log.warn('an entry of the registry names no usable worker', {
+        event: 'worker-entry-unusable',
+        worker: row.key,
+        version: row.version,
+      });
+    }
+    return entry;
+  }
 
   function stopUnknownRun(worker: Worker, task: string, attempt: number): void {
     log.warn('a worker runs an attempt that this scheduler did not order', {
@@ -174,7 +191,7 @@
   return {
     addWorkers(rows) {
       forEachRow(rows, log, (row) => {
-        const entry = term.decodeWorker(row);
+        const entry = decodeEntry(row);
         if (entry) state.workers.set(entry.id, makeWorker(entry));
       });
     },
@@ -188,10 +205,11 @@
     applyRegistryRows(rows, isSnapshot) {
       if (isSnapshot) {
         const listed = new Set(rows.map(({ key }) => key));
+        unusableEntries.clear();
         [...state.workers.keys()].filter((id) => !listed.has(id)).forEach(markUnregistered);
       }
       forEachRow(rows, log, (row) => {
-        const entry = row.deleted ? undefined : term.decodeWorker(row);
+        const entry = decodeEntry(row);
         if (entry) upsertWorker(entry);
         else markUnregistered(row.key);
       });
--- a/src/cell/_pass_runner.ts
+++ b/src/cell/_pass_runner.ts
@@ -47,6 +47,8 @@
 }
 
 const passDelayMs = 3;
+/** Starts wait while the store rejects a row of their job. */
+const heldRowCheckMs = 1_000;
 /** Largest share of the process's time that is spent on passes. */
 const maxPassTimeShare = 0.5;
 const orderMarginMs = 40;
@@ -121,8 +123,11 @@
   /** Sends the start orders of a job once they are stored, without waiting for later changes. */
   async function sendStarts(job: Job, starts: Run[]): Promise<void> {
     term.markJobDirty(job);
-    const { id } = job.accepted;
-    if (!(await writer.flush({ rows: [acceptedRow(id), progressRow(id)] }))) return;
+    const rows = [acceptedRow(job.accepted.id), progressRow(job.accepted.id)];
+    while (!(await writer.flush({ rows }))) {
+      if (term.endSignal.aborted) return;
+      await clock.sleep(heldRowCheckMs, term.endSignal);
+    }
     const storedAtMs = clock.now();
     starts.forEach((run) => {
       run.storedAtMs = storedAtMs;
--- a/src/cell/_retention.ts
+++ b/src/cell/_retention.ts
@@ -35,10 +35,11 @@
 
   async function deleteJob({ accepted: { id }, hasEntryRows }: Job): Promise<void> {
     deletingIds.add(id);
-    const isDeleted = await (hasEntryRows ? deleteEntryRows(id) : Promise.resolve(true)).finally(
-      () => deletingIds.delete(id),
-    );
-    if (!isDeleted) return;
+    try {
+      if (hasEntryRows && !(await deleteEntryRows(id))) return;
+    } finally {
+      deletingIds.delete(id);
+    }
     writer.markDirty(acceptedRow(id), () => undefined);
     writer.markDirty(progressRow(id), () => undefined);
     state.jobs.delete(id);
--- a/src/cell/advice_pool.ts
+++ b/src/cell/advice_pool.ts
@@ -122,11 +122,14 @@
     async requestTickets({ host, expectedMs }, request) {
       const timeoutMs = expectedMs * timeoutFactor + timeoutMarginMs;
       const load = getLoad(host);
-      const result = await askViaHost(host, { ...request, timeoutMs }).finally(() => {
+      let result: Awaited<ReturnType<HostAdviser>>;
+      try {
+        result = await askViaHost(host, { ...request, timeoutMs });
+      } finally {
         load.requests -= 1;
         if (expectedMs >= longRequestThresholdMs) load.longRequests -= 1;
         else load.shortRequestsMs -= expectedMs;
-      });
+      }
       return result.caseOf<GrantedTickets | undefined>({
         Left: () => {
           load.backoffUntilMs = clock.now() + failedHostBackoffMs;
--- a/src/cell/batch_writer.ts
+++ b/src/cell/batch_writer.ts
@@ -15,7 +15,6 @@
 import type { RowKey, Store, StoreTransaction, StoredRow } from '../model/mod.ts';
 import { makeDirtyRows } from './_dirty_rows.ts';
 import type { RowBatch, RowSource } from './_dirty_rows.ts';
-import { getRowName } from './rows.ts';
 
 export type { RowSource };
 
@@ -29,13 +28,15 @@
   /** Like `markDirty` for a row that the next transaction contains, however many rows wait. */
   markDirtyFirst(row: RowKey, source: RowSource): void;
   /**
-   * Resolves with true once all rows marked so far are stored, or with false once the writer is
-   * closed or the scheduler is deposed. With `rows`, it does not wait for other rows that are held
-   * back. A flush that is not urgent does not shorten the delay of the transaction.
+   * Resolves with true once all rows marked so far are stored, except for rows that are held back; or
+   * with false once the writer is closed, the scheduler is deposed or one of `rows` is held back. A
+   * flush that is not urgent does not shorten the delay of the transaction.
    */
   flush(options?: { isUrgent?: boolean; rows?: RowKey[] }): Promise<boolean>;
   /** Moving average of the time that a transaction takes, in milliseconds. */
   latencyMs(): number;
+  /** Whether the store has rejected a row, which is sent again later. */
+  isHeldBack(row: RowKey): boolean;
   /** Monotonic time at which the last transaction was known to have taken effect. */
   lastCommitAtMs(): number;
   /**
@@ -77,8 +78,8 @@
 
 interface Waiter {
   generation: number;
-  /** Names of the rows that it waits for even while they are held back; undefined for all. */
-  rows: Set<string> | undefined;
+  /** Rows that must not be held back. */
+  rows: RowKey[];
   isUrgent: boolean;
   resolve(isStored: boolean): void;
 }
@@ -98,6 +99,7 @@
 export function makeBatchWriter(options: BatchWriterOptions): BatchWriter {
   const { store, clock, log, sequenceRow, author, onDeposed, maxRowBytes } = options;
   const dirtyRows = makeDirtyRows({ clock, log, maxRowBytes });
+  const { isHeldBack } = dirtyRows;
   let sequence = { ...options.claimedSequence };
   let transactionCount = 0;
   let waiters: Waiter[] = [];
@@ -114,18 +116,14 @@
 
   function resolveWaiters(): void {
     const oldestGeneration = dirtyRows.oldestGeneration();
-    const ready: Waiter[] = [];
     const waiting: Waiter[] = [];
+    const finished: Waiter[] = [];
     waiters.forEach((waiter) => {
-      const isReady = waiter.generation < oldestGeneration && !waitsForHeldRow(waiter);
-      (isReady ? ready : waiting).push(waiter);
+      const isFinished = waiter.generation < oldestGeneration || waiter.rows.some(isHeldBack);
+      (isFinished ? finished : waiting).push(waiter);
     });
     waiters = waiting;
-    ready.forEach(({ resolve }) => resolve(true));
-  }
-
-  function waitsForHeldRow({ rows, generation }: Waiter): boolean {
-    return dirtyRows.isHeldBack(rows, generation);
+    finished.forEach(({ rows, resolve }) => resolve(!rows.some(isHeldBack)));
   }
 
   function close(): void {
@@ -234,8 +232,7 @@
   }
 
   function isWriteUrgent(): boolean {
-    const isUrgent = (waiter: Waiter) => waiter.isUrgent && !waitsForHeldRow(waiter);
-    return dirtyRows.hasOrdinary() && waiters.some(isUrgent);
+    return dirtyRows.hasOrdinary() && waiters.some(({ isUrgent }) => isUrgent);
   }
 
   function writeNow(): void {
@@ -264,20 +261,15 @@
       dirtyRows.markFirst(row, source);
       if (!isRunning) writeLater();
     },
-    flush({ isUrgent: isUrgentFlush = true, rows } = {}) {
-      if (isClosed) return Promise.resolve(false);
-      const names = rows && new Set(rows.map(getRowName));
+    flush({ isUrgent = true, rows = [] } = {}) {
+      if (isClosed || rows.some(isHeldBack)) return Promise.resolve(false);
+      if (!dirtyRows.hasOrdinary() && !isRunning) return Promise.resolve(true);
       return new Promise((resolve) => {
-        const generation = dirtyRows.generation();
-        const waiter = { generation, resolve, isUrgent: isUrgentFlush, rows: names };
-        if (!dirtyRows.hasOrdinary() && !isRunning && !waitsForHeldRow(waiter)) {
-          resolve(true);
-          return;
-        }
-        waiters.push(waiter);
-        if (isUrgentFlush) writeNow();
+        waiters.push({ generation: dirtyRows.generation(), resolve, isUrgent, rows });
+        if (isUrgent) writeNow();
       });
     },
+    isHeldBack,
     latencyMs: () => latencyMs,
     lastCommitAtMs: () => lastCommitAtMs,
     rejectedMs: () => (rejectedSinceMs === undefined ? 0 : clock.now() - rejectedSinceMs),
--- a/src/cell/batch_writer_test.ts
+++ b/src/cell/batch_writer_test.ts
@@ -188,31 +188,53 @@
   assert.not.ok(state.deposed);
 });
 
-// Guards against an order or a confirmation for a change that was not stored.
-test('a flush of a rejected row resolves only when the row is stored', async () => {
+// Guards against an order or a confirmation for a change that was not stored, and against waiting callers
+// that pile up behind a row for as long as the store rejects it.
+test('a flush of a rejected row fails at once, and succeeds when the row has been stored', async () => {
   const store = makeFakeStore({ maxRowBytes: 100 });
   let nowMs = 0;
   const { writer } = await claimAndOpen(store, 'a', { ...instantClock, now: () => nowMs });
   const large = progressRow('large');
   let content = 'x'.repeat(200);
   writer.markDirty(large, () => content);
-  let isStored: boolean | undefined;
-  const flushed = writer.flush({ rows: [large] }).then((value) => {
-    isStored = value;
-  });
+  assert.is(await writer.flush({ rows: [large] }), false);
+  assert.is(await writer.flush({ rows: [large] }), false);
+  assert.ok(writer.isHeldBack(large));
   writer.markDirty(progressRow('other'), () => 'other');
   assert.ok(await writer.flush({ rows: [progressRow('other')] }));
-  assert.is(isStored, undefined);
+  assert.ok(await writer.flush());
   content = 'small';
   writer.markDirty(large, () => content);
+  assert.is(await writer.flush({ rows: [large] }), false, 'it is sent again after a while only');
   nowMs = 6_000;
   writer.markDirty(progressRow('other'), () => 'other');
   assert.ok(await writer.flush());
-  await flushed;
-  assert.is(isStored, true);
+  assert.ok(await writer.flush({ rows: [large] }));
   assert.is(store.getValue('progress', 'large'), 'small');
 });
 
+// Guards against a transaction with two writes of one row, which the store may reject for ever.
+test('a heartbeat that the store rejects is dropped, and the next one is stored', async () => {
+  const store = makeFakeStore({ maxRowBytes: 100 });
+  let nowMs = 0;
+  const { writer } = await claimAndOpen(store, 'a', { ...instantClock, now: () => nowMs });
+  writer.markDirtyFirst(heartbeatRow, () => 'x'.repeat(200));
+  writer.markDirty(progressRow('j1'), () => 'one');
+  assert.ok(await writer.flush());
+  nowMs = 6_000;
+  const transact = store.transact.bind(store);
+  const keys: string[][] = [];
+  store.transact = (change) => {
+    keys.push(change.writes.map(({ key }) => key));
+    return transact(change);
+  };
+  writer.markDirtyFirst(heartbeatRow, () => 'beat');
+  writer.markDirty(progressRow('j2'), () => 'two');
+  assert.ok(await writer.flush());
+  keys.forEach((written) => assert.is(new Set(written).size, written.length));
+  assert.is(store.getValue('leadership', 'heartbeat'), 'beat');
+});
+
 // Guards against a transaction over 1 MB, which the store never takes, from rows that fit one by one.
 test('many large rows are stored by several transactions, none of which is over a limit', async () => {
   for (const letter of ['x', '€']) {
--- a/src/cell/chunked_store.ts
+++ b/src/cell/chunked_store.ts
@@ -5,7 +5,7 @@
  * The first chunk has the key of the row and starts with the number of chunks. The chunks of a value have
  * the same version, since one transaction wrote them; others are left from a value that is gone.
  */
-import { Right } from 'purify-ts';
+import { Either, Left, Right } from 'purify-ts';
 
 import { ErrorKind, failWith } from '../errors/mod.ts';
 import type { Outcome } from '../errors/mod.ts';
@@ -65,6 +65,16 @@
   return bytes <= maxRowBytes ? 1 : Math.ceil(bytes / (maxRowBytes - 2 * maxHeaderBytes));
 }
 
+/** A transaction holds a value in at most this many rows, beside those that it replaces. */
+const maxRowsPerValue = 40;
+/** Largest value that a transaction holds, whose values are base64. */
+const maxTransactionValueBytes = 600_000;
+
+/** Returns the size of the largest value that a transaction holds. */
+export function getMaxValueBytes(maxRowBytes: number): number {
+  return Math.min(maxTransactionValueBytes, maxRowsPerValue * (maxRowBytes - 2 * maxHeaderBytes));
+}
+
 function isInsert({ expected }: StoreTransaction, row: RowKey): boolean {
   return expected.some(
     ({ version, ...each }) => version === 0 && getRowName(each) === getRowName(row),
@@ -154,46 +164,51 @@
     const { rows, version } = view.extract() as VersionedRows;
     const [row] = rows;
     if (!row || countChunks(row.value) === 1) return Right({ row, version });
-    const chunks = await Promise.all(
-      listChunkKeys(row).map(async (each) => {
-        const read = await inner.read({ table, part, key: each });
-        return read.map(({ rows: [chunk] }) => chunk).orDefault(undefined);
-      }),
+    const reads = await Promise.all(
+      listChunkKeys(row).map((each) => inner.read({ table, part, key: each })),
     );
-    const joined = joinChunks(row, chunks);
+    const chunks = Either.sequence(reads).map((views) => views.map(({ rows: [chunk] }) => chunk));
+    if (chunks.isLeft()) return chunks.map(() => ({ row: undefined, version }));
+    const joined = joinChunks(row, chunks.extract() as (StoredRow | undefined)[]);
     if (joined) return Right({ row: joined, version });
     if (attempt < maxReads) return readRow({ table, part, key }, attempt + 1);
-    return failWith(ErrorKind.TableUnavailable, 'a row changes while it is read', { got: key });
+    return failWith(ErrorKind.TableConflict, 'a row changes while it is read', { got: [row] });
   }
 
   /** Joins a row with chunks from the same view, or from the store where the view lacks them. */
-  async function joinRow(row: StoredRow, chunks: Map<string, StoredRow>): Promise<StoredRow> {
+  async function joinRow(row: StoredRow, chunks: Map<string, StoredRow>): Outcome<StoredRow> {
     const others = listChunkKeys(row).map((key) => chunks.get(getRowName({ ...row, key })));
     const joined = joinChunks(row, others);
-    if (joined) return joined;
+    if (joined) return Right(joined);
     const reread = await readRow(row);
-    // A row whose chunks are missing stays as it is, so that its reader reports it as malformed.
-    return reread.map((found) => found.row ?? row).orDefault(row);
+    return reread
+      .map((found) => found.row ?? { ...row, deleted: true })
+      .chainLeft((failure) =>
+        // A row whose chunks are missing stays as it is, so that its reader reports it as malformed.
+        failure.kind === ErrorKind.TableConflict ? Right(row) : Left(failure),
+      );
   }
 
-  async function joinRows(rows: StoredRow[]): Promise<StoredRow[]> {
+  async function joinRows(rows: StoredRow[]): Outcome<StoredRow[]> {
     const chunks = new Map<string, StoredRow>();
     const firsts: StoredRow[] = [];
     rows.forEach((row) => {
       if (chunkKeyPattern.test(row.key)) chunks.set(getRowName(row), row);
       else firsts.push(row);
     });
-    return Promise.all(
+    const joined = await Promise.all(
       firsts.map((row) => {
         const count = row.deleted ? 1 : countChunks(row.value);
         rememberChunks(row, count);
-        return count === 1 ? row : joinRow(row, chunks);
+        return count === 1 ? Right(row) : joinRow(row, chunks);
       }),
     );
+    return Either.sequence(joined);
   }
 
-  async function joinView(view: VersionedRows): Promise<VersionedRows> {
-    return { ...view, rows: await joinRows(view.rows) };
+  async function joinView(view: VersionedRows): Outcome<VersionedRows> {
+    const rows = await joinRows(view.rows);
+    return rows.map((joined) => ({ ...view, rows: joined }));
   }
 
   return {
@@ -210,7 +225,7 @@
         return result.map(({ row, version }) => ({ rows: row ? [row] : [], version }));
       }
       const view = await inner.read({ table, part });
-      return view.isLeft() ? view : Right(await joinView(view.extract() as VersionedRows));
+      return view.isLeft() ? view : joinView(view.extract() as VersionedRows);
     },
 
     listParts: inner.listParts,
@@ -218,7 +233,7 @@
     async watch(table, options) {
       const result = await inner.watch(table, options);
       const view = result.toMaybe().extract();
-      return tables.has(table) && view ? Right(await joinView(view)) : result;
+      return tables.has(table) && view ? joinView(view) : result;
     },
   };
 }
--- a/src/cell/chunked_store_test.ts
+++ b/src/cell/chunked_store_test.ts
@@ -1,7 +1,11 @@
+import { Right } from 'purify-ts';
+import type { Either } from 'purify-ts';
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
 import { makeRandom } from '../clock/mod.ts';
+import { ErrorKind, failWith } from '../errors/mod.ts';
+import type { Failure } from '../errors/mod.ts';
 import type { Store, StoredRow, StoreTransaction } from '../model/mod.ts';
 import { makeFakeStore } from '../testing/fake_store.ts';
 import type { FakeStore } from '../testing/fake_store.ts';
@@ -108,6 +112,23 @@
   }
 });
 
+// Guards against an accepted job that is skipped as malformed, or started anew, after a read that failed.
+test('a view fails as a whole if the chunks of a row cannot be read now', async () => {
+  const { inner, write } = setUp();
+  await write('x'.repeat(500));
+  const first = [...inner.rows.values()].slice(0, 1);
+  const failing: FakeStore = {
+    ...inner,
+    read: async (query) =>
+      query.key?.includes('#') ? failWith(ErrorKind.TableUnavailable, 'down') : inner.read(query),
+    watch: async () => Right({ rows: first, version: 9 }),
+  };
+  const { store } = setUp(failing);
+  const kindOf = (result: Either<Failure, unknown>) => result.swap().unsafeCoerce().kind;
+  assert.is(kindOf(await store.watch('progress', { after: 0, waitMs: 0 })), 'table-unavailable');
+  assert.is(kindOf(await store.read(row)), 'table-unavailable');
+});
+
 test('a row without its chunks does not prevent the others from being read', async () => {
   const { inner, store, write } = setUp();
   await write('x'.repeat(500));
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -6,16 +6,14 @@
  * confirmed to the worker.
  */
 import type { Outcome } from '../errors/mod.ts';
-import { isTerminalState, Rejection } from '../model/mod.ts';
+import { Rejection } from '../model/mod.ts';
 import type { VersionedRows } from '../model/mod.ts';
 import {
   countPendingJobs,
-  encodeProgress,
   computeFleetLoad,
   makeLostRunEnd,
   makeCellState,
   getRefusalReason,
-  listRuns,
   getTaskName,
 } from '../scheduler/mod.ts';
 import { makeRunEndHandler } from './_run_end_handler.ts';
@@ -47,7 +45,8 @@
 import { makeSchedulerService } from './service.ts';
 import type { SchedulerService } from './service.ts';
 import { maxClockDriftFactor } from './worker_link.ts';
-import { acceptedRow, heartbeatRow, jobsTable, progressRow, sequenceRow } from './rows.ts';
+import { markJobDirty } from './_job_progress.ts';
+import { heartbeatRow, jobsTable, sequenceRow } from './rows.ts';
 
 /** The term of a scheduler. */
 export interface SchedulerTerm {
@@ -122,23 +121,7 @@
       options.maxLeaseMs * maxClockDriftFactor +
       (options.predecessorMayAct ? maxRenewalWithoutStoreMs : 0),
     writer: components.writer,
-    markJobDirty(job) {
-      let { storedState } = job;
-      components.writer.markDirty(
-        progressRow(job.accepted.id),
-        () => {
-          storedState = job.state;
-          return JSON.stringify(encodeProgress(job));
-        },
-        () => {
-          job.storedState = storedState;
-        },
-      );
-      // Once a job has ended and has no runs left, its progress row is sufficient.
-      if (isTerminalState(job.state) && listRuns(job).length === 0) {
-        components.writer.markDirty(acceptedRow(job.accepted.id), () => undefined);
-      }
-    },
+    markJobDirty: (job) => markJobDirty(components.writer, job),
     schedulePass: () => components.passRunner.schedule(),
     end,
   };
--- a/src/cell/term_test.ts
+++ b/src/cell/term_test.ts
@@ -2,6 +2,8 @@
 import * as assert from 'uvu/assert';
 
 import { systemClock } from '../clock/mod.ts';
+import { ErrorKind, failWith } from '../errors/mod.ts';
+import type { RowKey } from '../model/mod.ts';
 import { acceptedJob, stepSpec } from '../testing/fake_cell.ts';
 import { makeFakeStore } from '../testing/fake_store.ts';
 import { makeClaimedTerm, withDelayedWatch } from '../testing/fake_term.ts';
@@ -9,6 +11,10 @@
 
 const test = suite('term');
 
+function isProgress({ table }: RowKey): boolean {
+  return table === 'progress';
+}
+
 async function waitFor<T>(check: () => T | undefined): Promise<T> {
   for (;;) {
     const result = check();
@@ -50,4 +56,28 @@
   assert.equal(loaded, { batch: 1 });
 });
 
+// Guards against an accepted job that nobody knows after a takeover, as only its end was to be stored.
+test('an ended job whose progress the store rejects keeps the row of its acceptance', async () => {
+  const inner = makeFakeStore();
+  const store = withDelayedWatch({
+    ...inner,
+    transact: async (change: Parameters<typeof inner.transact>[0]) =>
+      change.writes.some((row) => isProgress(row) && row.key === 'a1')
+        ? failWith<number>(ErrorKind.TableRejected, 'over a limit')
+        : inner.transact(change),
+  });
+  const term = await makeClaimedTerm(store);
+  const running = term.run();
+  await waitFor(() => inner.getValue('leadership', 'heartbeat'));
+  const submit = (id: string) => term.service.submit(acceptedJob(id, [stepSpec()]));
+  while ((await submit('a1')) !== 'stored') await systemClock.sleep(2);
+  assert.is(await term.service.cancel('a1'), false);
+  assert.is(await submit('b2'), 'stored', 'other jobs are served');
+  await term.service.cancel('b2');
+  term.stop();
+  await running;
+  assert.is.not(inner.getValue('accepted', 'a1'), undefined);
+  assert.is(inner.getValue('accepted', 'b2'), undefined);
+});
+
 test.run();
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -93,8 +93,10 @@
     incarnationStartMs = report.incarnationStartMs;
     clockReading = { workerMs: report.clockMs, atMs: clock.now() };
     const newestSequence = Math.max(0, ...report.ended.map(({ sequence }) => sequence));
-    const storing = onReport(report, sentAtMs).then((isStored) => {
-      if (isStored && report.incarnationStartMs === incarnationStartMs)
+    const storing = onReport(report, sentAtMs).then(async (isStored) => {
+      // The worker lists the ends again at once until they are confirmed.
+      if (!isStored) await clock.sleep(maxStoreWaitMs);
+      else if (report.incarnationStartMs === incarnationStartMs)
         lastStoredSequence = Math.max(lastStoredSequence, newestSequence);
     });
     // Leases are renewed even while the store does not respond.
--- a/src/cell/worker_link_test.ts
+++ b/src/cell/worker_link_test.ts
@@ -124,6 +124,15 @@
   );
 });
 
+// Guards against a link that polls without a pause, as the worker lists unconfirmed ends at once.
+test('ends that are not stored are asked for again only after a pause', async () => {
+  const reports = [0, 100, 200].map((clockMs) => report(clockMs, { ended: [ended(3)] }));
+  const { state, run, nowMs } = setUp(reports);
+  state.stored = false;
+  await run();
+  assert.ok(nowMs() >= 3 * (100 + 400));
+});
+
 test('leases are renewed while the ends cannot be stored', async () => {
   const { renewals, state, run } = setUp([
     report(0, { ended: [ended(1)] }),
--- a/src/front/_new_job.ts
+++ b/src/front/_new_job.ts
@@ -2,11 +2,9 @@
  * The stored form of a job that a client submits.
  */
 import type { AcceptedJob, JobSpec } from '../model/mod.ts';
+import { maxStartedTasks } from '../scheduler/mod.ts';
 import type { RoutedRequest } from './_routed_request.ts';
 
-/** Largest stored form of a job, in bytes, so that a transaction of the store holds it. */
-export const maxStoredJobBytes = 600_000;
-
 /** Makes the stored form of a job from the request that submits it. */
 export function makeAcceptedJob(
   { queue, organisation, jobId }: Pick<RoutedRequest, 'queue' | 'organisation' | 'jobId'>,
@@ -31,7 +29,11 @@
   };
 }
 
-/** Whether the store can hold a job. */
-export function isStorable(job: AcceptedJob): boolean {
-  return Buffer.byteLength(JSON.stringify(job)) <= maxStoredJobBytes;
+/** Returns why a job could never be served; undefined if it could. */
+export function findSizeProblem(job: AcceptedJob, maxJobBytes: number): string | undefined {
+  const gang = job.spec.steps.find((step) => step.gang && step.count > maxStartedTasks);
+  if (gang) return `a gang has ${gang.count} tasks, expected at most ${maxStartedTasks}`;
+  const bytes = Buffer.byteLength(JSON.stringify(job));
+  if (bytes > maxJobBytes) return `the job takes ${bytes} bytes, expected at most ${maxJobBytes}`;
+  return undefined;
 }
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -20,7 +20,7 @@
 import type { SchedulerClient } from './scheduler_client.ts';
 import { authorise } from './_routed_request.ts';
 import type { RoutedRequest } from './_routed_request.ts';
-import { isStorable, makeAcceptedJob, maxStoredJobBytes } from './_new_job.ts';
+import { findSizeProblem, makeAcceptedJob } from './_new_job.ts';
 import { makeJobWriter, RowStatus } from './job_writer.ts';
 import type { RouteTable } from './routes.ts';
 
@@ -36,6 +36,8 @@
   getPendingCount(queue: string): number | undefined;
   /** Whether a further job of the organisation in the queue is to be refused. */
   isOverloaded(queue: string, organisation: string): boolean;
+  /** Largest stored form of a job, in bytes. */
+  maxJobBytes: number;
   /** Whether the last calls to the store have all failed. */
   isStoreDown(): boolean;
   relay: Relay;
@@ -128,7 +130,8 @@
     const spec = decoded.extract() as JobSpec;
     const request = { ...received, retryAfterS: computeRetryAfterS(received.queue, spec) };
     const job = makeAcceptedJob(request, spec, clock.wallTime());
-    if (!isStorable(job)) return rejectTooLarge(request);
+    const problem = findSizeProblem(job, options.maxJobBytes);
+    if (problem !== undefined) return rejectTooLarge(request, problem);
     log.info('job received', {
       event: 'job-received',
       id: request.jobId,
@@ -142,9 +145,8 @@
     return storeJob(request, job, outcome === SubmitResult.Unknown);
   }
 
-  /** Rejects a job at once that the store could never hold. */
-  function rejectTooLarge({ jobId }: RoutedRequest): ClientResponse {
-    const message = `the store does not hold the job; it takes up to ${maxStoredJobBytes} bytes`;
+  /** Rejects a job at once that could never be served. */
+  function rejectTooLarge({ jobId }: RoutedRequest, message: string): ClientResponse {
     log.info('job rejected', { event: 'job-rejected', id: jobId, reason: message });
     return respondError(errorResponses[ErrorKind.BodyTooLarge].status, message);
   }
@@ -183,7 +185,9 @@
           kind: cause.kind,
           reason: cause.got,
         });
-        if (cause.kind === ErrorKind.TableRejected && !mayBeStored) return rejectTooLarge(request);
+        if (cause.kind === ErrorKind.TableRejected && !mayBeStored) {
+          return rejectTooLarge(request, cause.message);
+        }
         return forward(request, mayBeStored ? { ...cause, kind: ErrorKind.TableUnknown } : cause);
       },
     });
--- a/src/front/front_test.ts
+++ b/src/front/front_test.ts
@@ -6,7 +6,7 @@
 import { systemClock } from '../clock/mod.ts';
 import { ErrorKind, makeFailure } from '../errors/mod.ts';
 import { silentLogger } from '../logs/mod.ts';
-import { configuration, queue } from '../testing/fake_cell.ts';
+import { configuration, queue, stepSpec } from '../testing/fake_cell.ts';
 import { makeFakeStore } from '../testing/fake_store.ts';
 import type { ClientRequest, ClientResponse } from './_responses.ts';
 import { makeFrontEnd } from './front.ts';
@@ -38,6 +38,7 @@
     getPendingCount: () => 3,
     isOverloaded: () => false,
     isStoreDown: () => false,
+    maxJobBytes: 600_000,
     scheduler: noScheduler,
     async relay(request) {
       relayed.push(request);
@@ -223,4 +224,13 @@
   assert.is(store.rows.size, 0);
 });
 
+// Guards against a gang that holds capacity for ever, as no transaction holds the progress of its job.
+test('a gang that is wider than a job may have started tasks is rejected at once', async () => {
+  const decodeGang = (count: number) => ({
+    decodeJob: () => Right({ payload: '', steps: [stepSpec({ count, gang: true })] }),
+  });
+  assert.is((await setUp(decodeGang(6_001)).send('POST')).status, 413);
+  assert.is((await setUp(decodeGang(6_000)).send('POST')).status, 200);
+});
+
 test.run();
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -1,7 +1,7 @@
 /**
  * Connects the parts of an entry process on the users' platform.
  */
-import { makeLeadership, makeTerm, ringSuccessors } from '../cell/mod.ts';
+import { getMaxValueBytes, makeLeadership, makeTerm, ringSuccessors } from '../cell/mod.ts';
 import type { Leadership, Member } from '../cell/mod.ts';
 import type { Clock, Random } from '../clock/mod.ts';
 import { ErrorKind, failWith } from '../errors/mod.ts';
@@ -168,7 +168,6 @@
     onOtherClaim: termHolder.stop,
   });
   election.leadership = leadership;
-
   const getRoutes = makeRouteSource({
     clock,
     operatorState: operatorState.current,
@@ -207,6 +206,7 @@
     getRoutes,
     ...makeSchedulerHints({ clock, heartbeat: leadership.heartbeat }),
     isStoreDown: storeHealth.isDown,
+    maxJobBytes: getMaxValueBytes(settings.maxRowBytes),
     relay: peerGroup.relay,
     isJobId,
     decodeJob,
--- a/src/host/scheduler_client.ts
+++ b/src/host/scheduler_client.ts
@@ -118,14 +118,16 @@
     }
     const requestEnded = new AbortController();
     const endRequest = requestsInFlight.begin();
-    const result = await Promise.race<Either<Failure, Result[]>>([
-      send(target),
-      failWhenUnresponsive(target, requestEnded.signal),
-    ]).finally(() => {
+    try {
+      const result = await Promise.race<Either<Failure, Result[]>>([
+        send(target),
+        failWhenUnresponsive(target, requestEnded.signal),
+      ]);
+      return result.ifLeft(backOff);
+    } finally {
       requestEnded.abort();
       endRequest();
-    });
-    return result.ifLeft(backOff);
+    }
   }
 
   /** Makes a batcher for one kind of request; `makeFallback` gives the result of a failed request. */
--- a/src/scheduler/_place_step.ts
+++ b/src/scheduler/_place_step.ts
@@ -29,10 +29,10 @@
 import { recordWait } from './waiting.ts';
 
 /**
- * Maximum number of tasks of a job that are started and not done. With it, the stored progress of a job
- * fits into one transaction.
+ * Maximum number of tasks of a job that are started and not done, and so of the tasks of a gang. With
+ * it, the stored progress of a job fits into one transaction.
  */
-const maxStartedTasks = 6_000;
+export const maxStartedTasks = 6_000;
 
 /** Lists the indexes of the tasks of a step that wait for a start. */
 function listPendingTasks(step: Step, nowMs: number): number[] {
@@ -51,8 +51,7 @@
   let allowed = Math.max(0, maxStartedTasks - job.startedTasks);
   if (pendingTasks.length <= allowed) return pendingTasks;
   if (pendingTasks.filter(isFirstStart).length <= allowed) return pendingTasks;
-  // A gang that is wider than the maximum runs while nothing else of its job does.
-  if (spec.gang) return job.startedTasks === 0 ? pendingTasks : [];
+  if (spec.gang) return [];
   return pendingTasks.filter((index) => {
     if (!isFirstStart(index)) return true;
     allowed -= 1;
--- a/src/scheduler/_ranking.ts
+++ b/src/scheduler/_ranking.ts
@@ -6,6 +6,7 @@
  */
 import { JobState } from '../model/mod.ts';
 import { ensureSteps, getOccurrenceCount, mayOpenOccurrence } from './jobs.ts';
+import { findRange } from './_ranges.ts';
 import { compareRanks, computeRank, Urgency } from './rank.ts';
 import type { Rank } from './rank.ts';
 import { getQueueTerms, guardJob } from './pass.ts';
@@ -38,11 +39,15 @@
 function listReadySteps(job: Job, times: PassTimes): Step[] {
   const ready: Step[] = [];
   for (
-    let occurrence = job.firstOpenOccurrence;
+    let occurrence = 0;
     occurrence < getOccurrenceCount(job) && isDue(job, occurrence, times.wallMs);
     occurrence++
   ) {
-    if (job.completedOccurrences.has(occurrence)) continue;
+    const completed = findRange(job.completedOccurrences, occurrence);
+    if (completed) {
+      [, occurrence] = completed;
+      continue;
+    }
     if (!job.occurrences.has(occurrence) && !mayOpenOccurrence(job)) break;
     setObjectiveStart(job, occurrence, times);
     const steps = ensureSteps(job, occurrence);
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -3,8 +3,7 @@
  */
 import { isTerminalState, JobState, RunEnd } from '../model/mod.ts';
 import type { AcceptedJob, EndedRun } from '../model/mod.ts';
-import { forEachInRanges } from './_ranges.ts';
-import type { NumberRange } from './_ranges.ts';
+import { addToRanges, countInRanges } from './_ranges.ts';
 import { computeCriticalPathMs } from './rank.ts';
 import { allocateRun, releaseReservation, releaseRun } from './resource_accounting.ts';
 import { listAffectedTasks, makeRun, recordCheckpoint } from './state.ts';
@@ -56,17 +55,6 @@
   return occurrences.size === 0 || (occurrences.size + 1) * tasks <= maxOpenTasks;
 }
 
-/** Records that a range of occurrences is complete, and drops their steps. */
-export function completeOccurrences(job: Job, [first, last]: NumberRange): void {
-  const { occurrences, completedOccurrences } = job;
-  if (first === job.firstOpenOccurrence) job.firstOpenOccurrence = last + 1;
-  else forEachInRanges([[first, last]], (occurrence) => completedOccurrences.add(occurrence));
-  while (completedOccurrences.delete(job.firstOpenOccurrence)) job.firstOpenOccurrence += 1;
-  occurrences.forEach((_, occurrence) => {
-    if (occurrence >= first && occurrence <= last) occurrences.delete(occurrence);
-  });
-}
-
 /** Returns how many times the steps of a job run. */
 export function getOccurrenceCount(job: Job): number {
   return job.accepted.spec.repetition?.count ?? 1;
@@ -94,8 +82,7 @@
       0,
     ),
     occurrences: new Map(),
-    firstOpenOccurrence: 0,
-    completedOccurrences: new Set(),
+    completedOccurrences: [],
     startedTasks: 0,
     skipUntilMs: -Infinity,
     setAsideUntilMs: -Infinity,
@@ -211,13 +198,13 @@
 function dropOccurrenceIfComplete({ job, occurrence }: Step): void {
   const steps = job.occurrences.get(occurrence);
   if (!steps || !isOccurrenceDone(steps) || hasRuns(steps)) return;
-  completeOccurrences(job, [occurrence, occurrence]);
+  job.occurrences.delete(occurrence);
+  job.completedOccurrences = addToRanges(job.completedOccurrences, occurrence);
 }
 
 function completeJobIfDone(state: CellState, job: Job, nowMs: number): void {
   if (isTerminalState(job.state)) return;
-  const knownOccurrences =
-    job.firstOpenOccurrence + job.completedOccurrences.size + job.occurrences.size;
+  const knownOccurrences = countInRanges(job.completedOccurrences) + job.occurrences.size;
   if (knownOccurrences < getOccurrenceCount(job)) return;
   if ([...job.occurrences.values()].every(isOccurrenceDone)) {
     finishJob(state, job, JobState.Completed, nowMs);
--- a/src/scheduler/mod.ts
+++ b/src/scheduler/mod.ts
@@ -6,6 +6,7 @@
 export * from './jobs.ts';
 export { computeObjectiveMs, computeSlackMs } from './rank.ts';
 export * from './decide.ts';
+export { maxStartedTasks } from './_place_step.ts';
 export * from './pass.ts';
 export * from './pressure.ts';
 export * from './records.ts';
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -6,8 +6,8 @@
  * and complete occurrences, which never start again, are stored as ranges.
  */
 import { isTerminalState, JobState } from '../model/mod.ts';
-import { completeOccurrences, ensureSteps } from './jobs.ts';
-import { extendRanges, forEachInRanges } from './_ranges.ts';
+import { ensureSteps } from './jobs.ts';
+import { areRanges, extendRanges, forEachInRanges } from './_ranges.ts';
 import type { NumberRange } from './_ranges.ts';
 import { allocateRun } from './resource_accounting.ts';
 import { makeRun, makeWorker } from './state.ts';
@@ -37,8 +37,8 @@
   occurrences: OccurrenceRecord[];
 }
 
-/** Checkpoints of a job are stored up to this total length; without one a lost run starts over. */
-const maxCheckpointLength = 150_000;
+/** Checkpoints of a job are stored up to this total size; without one a lost run starts over. */
+const maxCheckpointBytes = 150_000;
 
 function encodeTask(task: Task, index: number): TaskRecord {
   return [
@@ -70,27 +70,16 @@
   return record;
 }
 
-function listCompletedOccurrences({
-  firstOpenOccurrence,
-  completedOccurrences,
-}: Job): NumberRange[] {
-  const ranges: NumberRange[] = firstOpenOccurrence > 0 ? [[0, firstOpenOccurrence - 1]] : [];
-  const ascending = [...completedOccurrences].sort((a, b) => a - b);
-  ascending.forEach((occurrence) => extendRanges(ranges, occurrence));
-  return ranges;
-}
-
-/** Leaves out the checkpoints beyond the total length that is stored. */
+/** Leaves out the checkpoints that exceed the total size that is stored. */
 function limitCheckpoints(occurrences: OccurrenceRecord[]): void {
-  let totalLength = 0;
-  occurrences.forEach(([, steps]) =>
-    steps.forEach((tasks) =>
-      tasks.forEach((record) => {
-        totalLength += record[4].length;
-        if (totalLength > maxCheckpointLength) record[4] = '';
-      }),
-    ),
-  );
+  let totalBytes = 0;
+  function limitCheckpoint(record: TaskRecord): void {
+    if (record[4] === '') return;
+    const bytes = Buffer.byteLength(JSON.stringify(record[4]));
+    if (totalBytes + bytes > maxCheckpointBytes) record[4] = '';
+    else totalBytes += bytes;
+  }
+  occurrences.forEach(([, steps]) => steps.forEach((tasks) => tasks.forEach(limitCheckpoint)));
 }
 
 function encodeOpenOccurrences({ occurrences }: Job): OccurrenceRecord[] {
@@ -126,7 +115,7 @@
   const hasEnded = isTerminalState(job.state);
   const occurrences = hasEnded ? encodeRemainingRuns(job) : encodeOpenOccurrences(job);
   limitCheckpoints(occurrences);
-  const completed = hasEnded ? [] : listCompletedOccurrences(job);
+  const completed = hasEnded ? [] : job.completedOccurrences;
   return {
     state: job.state,
     ...(completed.length > 0 ? { completed } : {}),
@@ -196,6 +185,8 @@
   record: JobRecord,
   nowMs: number,
 ): void {
+  const { completed = [] } = record;
+  if (!areRanges(completed)) throw new Error('expected ascending ranges of complete occurrences');
   job.state = record.state;
   job.storedState = record.state;
   if (job.state !== JobState.Queued) job.wait = undefined;
@@ -203,10 +194,8 @@
     job.endedAtMs = nowMs;
     state.activeJobs.delete(job);
   }
-  (record.completed ?? []).forEach((range) => {
-    completeOccurrences(job, range);
-    job.hasConfirmedStart = true;
-  });
+  if (completed.length > 0) job.hasConfirmedStart = true;
+  job.completedOccurrences = completed;
   record.occurrences.forEach(([occurrence, stepRecords, done = []]) => {
     const steps = ensureSteps(job, occurrence);
     stepRecords.forEach((tasks, stepIndex) => {
--- a/src/scheduler/records_test.ts
+++ b/src/scheduler/records_test.ts
@@ -13,6 +13,7 @@
 import { decideStarts } from './decide.ts';
 import { addJob, endRun } from './jobs.ts';
 import { computeRank, Urgency } from './rank.ts';
+import { maxStartedTasks } from './_place_step.ts';
 import { encodeProgress, restoreProgress } from './records.ts';
 import type { JobRecord } from './records.ts';
 import { getTaskName } from './state.ts';
@@ -118,7 +119,7 @@
   }
   assert.ok(job.occurrences.size < 200);
   assert.ok(JSON.stringify(encodeProgress(job)).length < 200);
-  assert.is(restore(job, accepted).job.firstOpenOccurrence, job.firstOpenOccurrence);
+  assert.equal(restore(job, accepted).job.completedOccurrences, job.completedOccurrences);
 });
 
 // Guards against a job that takes all memory of the scheduler, as all its occurrences are due at once.
@@ -147,17 +148,36 @@
   );
 });
 
-// Guards against a gang that would wait for ever for room in the progress of its job.
-test('a gang of more than 6,000 tasks starts when nothing else of its job does, and again later', () => {
+// Guards against a gang that starts in part, or never again, at the maximum of started tasks.
+test('a gang as wide as the maximum of started tasks starts whole, and again after it has ended', () => {
   const accepted = acceptedJob('a', [
-    stepSpec({ count: 6_500, cpu: 1, estimatedMs: 1, gang: true }),
+    stepSpec({ count: maxStartedTasks, cpu: 1, estimatedMs: 1, gang: true }),
   ]);
   const state = cellWithWorkers(12, 32_000);
   submit(state, accepted);
   const starts = start(state);
-  assert.is(starts.length, 6_500);
+  assert.is(starts.length, maxStartedTasks);
   starts.forEach((run) => finish(state, run, RunEnd.Broken));
-  assert.is(start(state, 1_000).length, 6_500);
+  assert.is(start(state, 1_000).length, maxStartedTasks);
+});
+
+// Guards against a record by which a scheduler never ends loading.
+test('malformed ranges of complete occurrences are rejected', () => {
+  const accepted = acceptedJob('a', [stepSpec()], {
+    repetition: { count: 10, startAtMs: 0, intervalMs: 0 },
+  });
+  const texts = ['[[3,1]]', '[[1,2],[0,0]]', '[[0,1e300]]', '[[0]]', '[5]', '"x"', '{}'];
+  texts.forEach((text) => {
+    const job = submit(cellWithWorkers(1), accepted);
+    const record = JSON.parse(
+      `{"state":"running","occurrences":[],"completed":${text}}`,
+    ) as JobRecord;
+    assert.throws(() => restoreProgress(cellWithWorkers(1), job, record, 0), /ranges/, text);
+  });
+  const job = submit(cellWithWorkers(1), accepted);
+  const large: JobRecord = { state: 'running', occurrences: [], completed: [[5, 1e15]] };
+  restoreProgress(cellWithWorkers(1), job, large, 0);
+  assert.equal(job.completedOccurrences, [[5, 1e15]]);
 });
 
 // Guards against checkpoints that make the progress too large; a lost run only starts over.
@@ -168,6 +188,16 @@
   start(state).forEach((run) => finish(state, run, RunEnd.Stopped, 'x'.repeat(30_000)));
   assert.ok(JSON.stringify(encodeProgress(job)).length < 200_000);
   assert.is(job.occurrences.get(0)![0]!.tasks[99]!.checkpoint.length, 30_000);
+  const other = submit(state, acceptedJob('b', [stepSpec({ count: 2, checkpointing: true })]));
+  const [large, small] = start(state, 1_000).filter(({ step }) => step.job === other);
+  finish(state, large!, RunEnd.Stopped, 'x'.repeat(200_000));
+  finish(state, small!, RunEnd.Stopped, 'kept');
+  const [[, [tasks]]] = encodeProgress(other).occurrences as unknown as [[number, [unknown[][]]]];
+  assert.equal(
+    tasks.map((task) => task[4]),
+    ['', 'kept'],
+    'a large one costs only itself',
+  );
 });
 
 test.run();
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -3,6 +3,7 @@
  */
 import { noResources } from '../model/mod.ts';
 import type { AcceptedJob, JobState, Resources, StepSpec, WorkerEntry } from '../model/mod.ts';
+import type { NumberRange } from './_ranges.ts';
 import type { Wait } from './waiting.ts';
 
 /** Phases of a run, from the decision to start it to its end. */
@@ -122,10 +123,8 @@
   millicoreMs: number;
   /** Steps of the occurrences that are open: due, and not complete. */
   occurrences: Map<number, Step[]>;
-  /** All occurrences below this one are complete; their steps have been dropped. */
-  firstOpenOccurrence: number;
-  /** Complete occurrences above `firstOpenOccurrence`; their steps have been dropped, too. */
-  completedOccurrences: Set<number>;
+  /** Complete occurrences in ascending order; their steps have been dropped. */
+  completedOccurrences: NumberRange[];
   /** Number of tasks that were started and are not done, which its stored progress lists one by one. */
   startedTasks: number;
   /** Monotonic time before which passes skip the job because it is too late. */
