--- a/review/lib-2/site.mjs
+++ b/review/lib-2/site.mjs
@@ -209,10 +209,15 @@
       log.write(text);
       lastWords = /^FATAL ERROR:.*$/m.exec(text)?.[0] ?? lastWords;
     });
+    child.once('close', () => log.end());
     child.on('exit', (code, signal) => {
-      log.end();
       if (!host.isWanted) return;
-      note('process ended by itself', { host: host.name, code, signal, says: lastWords });
+      note(signal === 'SIGKILL' ? 'process ended' : 'process ended by itself', {
+        host: host.name,
+        code,
+        signal,
+        says: lastWords,
+      });
       setTimeout(() => host.isWanted && startHost(host), restartDelayMs);
     });
   }
@@ -289,6 +294,12 @@
     note('host lost power', { host: host.name });
   }
 
+  /** Kills the process of a host; as on the platform, it is started again. */
+  function killHost(host) {
+    note('process killed', { host: host.name });
+    host.child.kill('SIGKILL');
+  }
+
   /** A host gets power back: its process begins anew. */
   async function returnPower(host) {
     const ended = new Promise((resolve) => {
@@ -300,7 +311,7 @@
   }
 
   let nextHost = 0;
-  const site = { events, note, store, fleet, processes, goDark, returnPower };
+  const site = { events, note, store, fleet, processes, goDark, killHost, returnPower };
 
   /** Calls as a client does: an attempt without a final answer is repeated at another process. */
   site.call = async (call) => {
@@ -377,7 +388,10 @@
     async () => (await Promise.all(processes.map(site.isReady))).every(Boolean),
     20_000,
   );
-  if (!isUp) throw new Error('the processes did not become ready');
+  if (!isUp) {
+    await site.close();
+    throw new Error('the processes did not become ready');
+  }
   // The scheduler has to win its claim and find the workers.
   await sleep(3_000);
   note('ready', { hosts, workers: workers.length, trouble: isTroubled });
@@ -388,6 +402,13 @@
 export async function runCase(options, play) {
   let site;
   let exitCode = 2;
+  // A defect of the case must neither count as a broken rule nor leave processes behind.
+  process.on('uncaughtException', (error) => {
+    process.stderr.write(`${error.stack}\n`);
+    const exit = () => process.exit(2);
+    if (site) site.close().then(exit, exit);
+    else exit();
+  });
   const guard = setTimeout(() => {
     site?.note('the case took too long');
     site?.close().finally(() => process.exit(2));
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -2,7 +2,8 @@
 /**
  * A worker that follows the users' protocol: fencing tokens, leases, attempts, numbered ends and the
  * registry entry. The text of a task says how long it runs and how it ends:
- * `{"ms": 300, "how": "done"}`; `{"lasting": true}` runs until it is stopped.
+ * `{"ms": 300, "how": "done"}`; `{"lasting": true}` runs until it is stopped, and with `{"failures": 1}`
+ * the first attempt fails.
  */
 import { createServer } from 'node:http';
 
@@ -34,7 +35,9 @@
   let sockets = new Set();
   let address = '127.0.0.1:0';
   let beatTimer;
+  let endTimer;
   let removeTimer;
+  let isCut = false;
 
   const clockMs = () => Math.round(performance.now() - life.startedAtMs);
 
@@ -65,8 +68,9 @@
     takeLease(deadlineMs);
     if (attempt <= (life.attempts.get(task) ?? 0)) return [409, { reason: 'old' }];
     life.attempts.set(task, attempt);
-    const { ms = 100, how = 'done', lasting = false } = JSON.parse(spec);
-    life.running.set(task, { task, attempt, ms, how, lasting, startedMs: clockMs() });
+    const { ms = 100, how = 'done', lasting = false, failures = 0 } = JSON.parse(spec);
+    const end = attempt <= failures ? 'failed' : how;
+    life.running.set(task, { task, attempt, ms, how: end, lasting, startedMs: clockMs() });
     note('start', { worker: worker.id, labels: worker.labels.join(','), task, attempt });
     return [200, {}];
   }
@@ -110,7 +114,7 @@
     const body = await readJson(request);
     const handlers = { '/v1/run-start': start, '/v1/run-stop': stop, '/v1/hold': hold };
     let answer;
-    if (!life) return;
+    if (!life || isCut) return;
     if (request.headers['x-expected-instance'] !== worker.id) answer = [421, {}];
     else if ((body.fencing_token ?? 0) < life.token) answer = [409, { reason: 'fence' }];
     else {
@@ -118,7 +122,7 @@
       endDueRuns();
       answer = (await handlers[request.url]?.(body)) ?? [404, {}];
     }
-    if (!life || response.destroyed) return;
+    if (!life || isCut || response.destroyed) return;
     const text = JSON.stringify({ clock_ms: clockMs(), born: life.born, ...answer[1] });
     response.writeHead(answer[0], { 'content-type': 'application/json' });
     response.end(text);
@@ -170,6 +174,8 @@
     address = `127.0.0.1:${server.address().port}`;
     register();
     beatTimer = setInterval(register, heartbeatMs);
+    // Runs end in time, whether or not anybody asks.
+    endTimer = setInterval(endDueRuns, pollMs);
     worker.isUp = true;
     note('worker up', { worker: worker.id, labels: worker.labels.join(','), cpu, born: life.born });
   };
@@ -188,16 +194,25 @@
     note('worker crashed', { worker: worker.id, runs: [...life.running.keys()].join(',') });
     life = undefined;
     clearInterval(beatTimer);
+    clearInterval(endTimer);
     removeTimer = setTimeout(() => store.put('servers', worker.id, undefined), entryLifetimeMs);
     await closeServer();
   };
 
+  /** Cuts the worker off from all processes, or ends that; it runs on, and its calls are lost. */
+  worker.setCut = (next) => {
+    isCut = next;
+    if (!isCut) sockets.forEach((socket) => socket.resetAndDestroy());
+    note(isCut ? 'worker cut off' : 'worker reached again', { worker: worker.id });
+  };
+
   /** Loses power: nothing is answered any more, and open connections stay silent. */
   worker.goDark = () => {
     worker.isUp = false;
     note('worker crashed', { worker: worker.id, runs: [...life.running.keys()].join(',') });
     life = undefined;
     clearInterval(beatTimer);
+    clearInterval(endTimer);
     const { id: formerId } = worker;
     setTimeout(() => store.put('servers', formerId, undefined), entryLifetimeMs).unref();
   };
