--- a/review/lib-2/idle.mjs
+++ b/review/lib-2/idle.mjs
@@ -8,7 +8,8 @@
 /**
  * Finds the spans in which nothing of a job runs although it could. `job` has `id`, `acceptedMs`, the
  * CPU of a task (`cpu`), its tasks (`tasks`) and, optionally, the label that it needs. `isBusyAllowed`
- * leaves out the condition on the use of the service, which does not hold for tasks that last.
+ * is for tasks that last, "however full the service is": room then means the capacity of the workers that
+ * are up, whether or not it is in use.
  */
 export function findIdleSpans({ events, job, fromMs, untilMs, cpuOf, isBusyAllowed }) {
   const up = new Map();
@@ -26,14 +27,17 @@
     let capacity = 0;
     let usedCpu = 0;
     let fitting = 0;
+    let places = 0;
     up.forEach(({ cpu, labels }, id) => {
       capacity += cpu;
       const used = getUsed(id);
       usedCpu += used;
       const isEligible = job.label === undefined || labels.includes(job.label);
+      if (isEligible) places += Math.floor(cpu / job.cpu);
       if (isEligible) fitting += Math.max(0, Math.floor((cpu - used) / job.cpu));
     });
-    return isBusyAllowed || (fitting >= 2 * job.tasks && usedCpu * 2 < capacity);
+    if (isBusyAllowed) return places >= 2 * job.tasks;
+    return fitting >= 2 * job.tasks && usedCpu * 2 < capacity;
   }
 
   function step(nowMs) {
