Store which attempt of a gang failed last

Cause: the ends of one attempt of a gang count as one failure, by the attempt that failed last. That attempt was kept in memory only, so the successor of a killed scheduler counted the end that another member reported later once more. Ruled out: an end that is reported twice (its run is no longer known, so it is ignored).

Change: the stored progress of a task that has failed has that attempt as a further field; rows without it are read as before.

--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -16,7 +16,10 @@
 /** A stored run. */
 type RunRecord = [worker: string, incarnationStartMs: number, attempt: number];
 
-/** A stored task. Tasks that were never started, and done tasks without runs, are left out. */
+/**
+ * A stored task. Tasks that were never started, and done tasks without runs, are left out. The last
+ * field, of a task that has failed, is missing in rows of former versions.
+ */
 type TaskRecord = [
   index: number,
   attempt: number,
@@ -24,6 +27,7 @@
   done: 0 | 1,
   checkpoint: string,
   runs: RunRecord[],
+  lastFailedAttempt?: number,
 ];
 
 /** A stored occurrence that is not complete; `done` has the indexes of done tasks without runs. */
@@ -41,17 +45,19 @@
 const maxCheckpointBytes = 150_000;
 
 function encodeTask(task: Task, index: number): TaskRecord {
+  const runs = task.runs.map(({ workerId, incarnationStartMs, attempt }): RunRecord => [
+    workerId,
+    incarnationStartMs,
+    attempt,
+  ]);
   return [
     index,
     task.attempt,
     task.failures,
     task.isDone ? 1 : 0,
     task.checkpoint,
-    task.runs.map(({ workerId, incarnationStartMs, attempt }) => [
-      workerId,
-      incarnationStartMs,
-      attempt,
-    ]),
+    runs,
+    ...(task.failures > 0 ? ([task.lastFailedAttempt] as const) : ([] as const)),
   ];
 }
 
@@ -162,11 +168,11 @@
 function restoreTask(
   state: CellState,
   step: Step,
-  [index, attempt, failures, done, checkpoint, runs]: TaskRecord,
+  [index, attempt, failures, done, checkpoint, runs, lastFailedAttempt = 0]: TaskRecord,
   nowMs: number,
 ): void {
   const { job } = step;
-  Object.assign(step.tasks[index]!, { attempt, failures, checkpoint });
+  Object.assign(step.tasks[index]!, { attempt, failures, lastFailedAttempt, checkpoint });
   if (done === 1) restoreDoneTask(step, index);
   else job.startedTasks += 1;
   if (failures > 0 || checkpoint !== '') job.hasConfirmedStart = true;
--- a/src/scheduler/records_test.ts
+++ b/src/scheduler/records_test.ts
@@ -94,6 +94,23 @@
   }
 });
 
+// Guards against a job given up after one failed attempt, as a successor counts its other members again.
+test('the members of a gang that fail in one attempt count once, also across a takeover', () => {
+  const accepted = acceptedJob('a', [stepSpec({ count: 3, gang: true })]);
+  const state = cellWithWorkers(3);
+  const job = submit(state, accepted);
+  finish(state, start(state)[0]!, RunEnd.Failed);
+  const successor = restore(job, accepted);
+  const left = successor.job.occurrences.get(0)![0]!.tasks.flatMap(({ runs }) => runs);
+  assert.is(left.length, 2);
+  left.forEach((run) => finish(successor.state, run, RunEnd.Failed));
+  const [task] = successor.job.occurrences.get(0)![0]!.tasks;
+  assert.is(task!.failures, 1);
+  const again = start(successor.state, 1_000);
+  again.forEach((run) => finish(successor.state, run, RunEnd.Failed));
+  assert.is(task!.failures, 2, 'the next attempt counts');
+});
+
 // Guards against work that a takeover puts behind other work, though a part of it is done.
 test('an occurrence of which only done tasks are stored still counts as started', () => {
   const accepted = acceptedJob('a', [stepSpec(), stepSpec({ after: [0] })], {
