--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -15,8 +15,8 @@
   getJobId,
 } from '../scheduler/mod.ts';
 import type { Worker } from '../scheduler/mod.ts';
+import { chooseLeaseMs, mayRenewLeases } from './_leases.ts';
 import type { RunEndHandler } from './_run_end_handler.ts';
-import { maxRenewalWithoutStoreMs } from './_term_state.ts';
 import { progressRow } from './rows.ts';
 import { forEachRow } from './table_watcher.ts';
 import type { Term } from './_term_state.ts';
@@ -41,7 +41,6 @@
   controller: AbortController;
 }
 
-const requestedLeaseMs = 4_500;
 const stallTimeoutMs = 2_500;
 
 /**
@@ -109,6 +108,10 @@
     return rows.length === 0 || writer.flush({ isUrgent: false, rows });
   }
 
+  function getTimeSinceCommitMs(): number {
+    return clock.now() - writer.lastCommitAtMs();
+  }
+
   function openLink(worker: Worker): void {
     const { id } = worker.entry;
     const controller = new AbortController();
@@ -117,11 +120,11 @@
       clock,
       entry: () => worker.entry,
       fencingToken: claim.epoch,
-      leaseMs: Math.min(requestedLeaseMs, term.maxLeaseMs),
+      leaseMs: () => chooseLeaseMs(getTimeSinceCommitMs(), term.maxLeaseMs),
       maxLeaseMs: term.maxLeaseMs,
       predecessorLeasesEndAtMs: term.predecessorLeasesEndAtMs,
       isBusy: () => worker.runs.size > 0,
-      mayRenew: () => clock.now() - writer.lastCommitAtMs() < maxRenewalWithoutStoreMs,
+      mayRenew: () => mayRenewLeases(getTimeSinceCommitMs()),
       onReport: (report, sentAtMs) => handleReport(worker, report, sentAtMs),
       onRenewalFailed(rejection) {
         if (worker.isResponsive) {
--- a/src/cell/_term_state.ts
+++ b/src/cell/_term_state.ts
@@ -50,6 +50,3 @@
   schedulePass(): void;
   end(reason: string): void;
 }
-
-/** A scheduler that cannot reach the store stops renewing leases after this time. */
-export const maxRenewalWithoutStoreMs = 12_000;
--- a/src/cell/batch_writer.ts
+++ b/src/cell/batch_writer.ts
@@ -7,7 +7,8 @@
  * A transaction that the store rejects for what it contains is not sent again as it is; `_dirty_rows.ts`
  * chooses what is sent instead.
  */
-import type { Clock } from '../clock/mod.ts';
+import { makeTimeMark } from '../clock/mod.ts';
+import type { Clock, TimeMark } from '../clock/mod.ts';
 import { ErrorKind } from '../errors/mod.ts';
 import type { Failure } from '../errors/mod.ts';
 import { logFailure } from '../logs/mod.ts';
@@ -37,7 +38,10 @@
   latencyMs(): number;
   /** Whether the store has rejected a row, which is sent again later. */
   isHeldBack(row: RowKey): boolean;
-  /** Monotonic time at which the last transaction was known to have taken effect. */
+  /**
+   * Monotonic time at which the last transaction that took effect was sent, moved back by the time for
+   * which the machine was suspended since. A successor can have claimed at any later time.
+   */
   lastCommitAtMs(): number;
   /**
    * Time since the transaction in flight was first sent, if an attempt of it has failed; 0 when none
@@ -107,13 +111,19 @@
   let isClosed = false;
   let delayTimer: NodeJS.Timeout | undefined;
   let latencyMs = initialLatencyMs;
-  let lastCommitAtMs = clock.now();
+  let lastCommit = markNow();
   let transactionStartedAtMs = clock.now();
   let hasFailed = false;
   /** Start of the first attempt of the transaction in flight, while all attempts were rejected. */
   let rejectedSinceMs: number | undefined;
   let rejectionReason: unknown;
 
+  function markNow(): TimeMark {
+    const mark = makeTimeMark(clock);
+    mark.record(clock.now());
+    return mark;
+  }
+
   function resolveWaiters(): void {
     const oldestGeneration = dirtyRows.oldestGeneration();
     const waiting: Waiter[] = [];
@@ -165,15 +175,21 @@
     value: string,
   ): Promise<WriteOutcome | undefined> {
     const startedAtMs = clock.now();
+    const sent = markNow();
     const result = await store.transact(transaction);
     return result.caseOf<WriteOutcome | undefined>({
       Right: (version) => {
         sequence = { version, value };
+        lastCommit = sent;
         latencyMs += latencyWeight * (clock.now() - startedAtMs - latencyMs);
         return 'stored';
       },
       Left: (failure) => {
-        if (failure.kind === ErrorKind.TableConflict) return resolveConflict(failure, value);
+        if (failure.kind === ErrorKind.TableConflict) {
+          const outcome = resolveConflict(failure, value);
+          if (outcome === 'stored') lastCommit = sent;
+          return outcome;
+        }
         latencyMs += latencyWeight * (clock.now() - startedAtMs - latencyMs);
         if (failure.kind === ErrorKind.TableRejected) {
           rejectionReason = failure.got;
@@ -193,7 +209,6 @@
     while (!isClosed) {
       const outcome = await sendTransaction(transaction, value);
       if (outcome === 'stored') {
-        lastCommitAtMs = clock.now();
         hasFailed = false;
         rejectedSinceMs = undefined;
         dirtyRows.handleStored(batch);
@@ -271,7 +286,7 @@
     },
     isHeldBack,
     latencyMs: () => latencyMs,
-    lastCommitAtMs: () => lastCommitAtMs,
+    lastCommitAtMs: () => lastCommit.atMs() ?? -Infinity,
     rejectedMs: () => (rejectedSinceMs === undefined ? 0 : clock.now() - rejectedSinceMs),
     failingMs: () => (hasFailed ? clock.now() - transactionStartedAtMs : 0),
     close,
--- a/src/cell/batch_writer_test.ts
+++ b/src/cell/batch_writer_test.ts
@@ -50,6 +50,34 @@
   assert.is(versions[0], versions[1]);
 });
 
+// Guards against leases that are renewed after a successor has stopped to wait for them.
+test('the last commit counts from its sending, and a suspended machine does not hide its age', async () => {
+  const inner = makeFakeStore();
+  let nowMs = 1_000;
+  let wallMs = 500_000;
+  const pass = (ms: number) => {
+    nowMs += ms;
+    wallMs += ms;
+  };
+  const store = {
+    ...inner,
+    async transact(change: Parameters<typeof inner.transact>[0]) {
+      const result = await inner.transact(change);
+      pass(700);
+      return result;
+    },
+  };
+  const clock = { ...instantClock, now: () => nowMs, wallTime: () => wallMs };
+  const { writer } = await claimAndOpen(store, 'a', clock);
+  pass(5_000);
+  const sentAtMs = nowMs;
+  writer.markDirty(progressRow('j1'), () => 'one');
+  assert.ok(await writer.flush());
+  assert.is(writer.lastCommitAtMs(), sentAtMs);
+  wallMs += 4_000;
+  assert.is(writer.lastCommitAtMs(), sentAtMs - 4_000);
+});
+
 test('a heartbeat does not wait behind a backlog of other rows', async () => {
   const store = makeFakeStore();
   const { writer } = await claimAndOpen(store);
--- a/src/cell/leadership.ts
+++ b/src/cell/leadership.ts
@@ -14,7 +14,7 @@
 import { hasHeartbeatStopped, isCalmTerm } from './_heartbeat_age.ts';
 import { decodeClaim, decodeHeartbeat } from './_leadership_rows.ts';
 import type { Claim, HeartbeatContent } from './_leadership_rows.ts';
-import { maxRenewalWithoutStoreMs } from './_term_state.ts';
+import { maxRenewalWithoutStoreMs } from './_leases.ts';
 import { makeTableWatcher } from './table_watcher.ts';
 import { claimRow, heartbeatRow, leadershipTable, sequenceRow } from './rows.ts';
 
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -20,6 +20,7 @@
 import { heartbeatIntervalMs, isCalmTerm } from './_heartbeat_age.ts';
 import { makeFleet } from './_fleet.ts';
 import type { Fleet } from './_fleet.ts';
+import { getMaxPredecessorLeaseMs } from './_leases.ts';
 import {
   readAcceptedJobs,
   readJobRows,
@@ -37,14 +38,12 @@
 import { makeRetention } from './_retention.ts';
 import { findStartObstacle } from './_start_conditions.ts';
 import { makePressureCache } from './_pressure_cache.ts';
-import { maxRenewalWithoutStoreMs } from './_term_state.ts';
 import type { Term, TermOptions } from './_term_state.ts';
 import { makeTableWatcher } from './table_watcher.ts';
 import { makeBatchWriter } from './batch_writer.ts';
 import type { BatchWriter } from './batch_writer.ts';
 import { makeSchedulerService } from './service.ts';
 import type { SchedulerService } from './service.ts';
-import { maxClockDriftFactor } from './worker_link.ts';
 import { markJobDirty } from './_job_progress.ts';
 import { heartbeatRow, jobsTable, sequenceRow } from './rows.ts';
 
@@ -116,10 +115,7 @@
     ...options,
     state,
     endSignal: endController.signal,
-    predecessorLeasesEndAtMs:
-      startedAtMs +
-      options.maxLeaseMs * maxClockDriftFactor +
-      (options.predecessorMayAct ? maxRenewalWithoutStoreMs : 0),
+    predecessorLeasesEndAtMs: startedAtMs + getMaxPredecessorLeaseMs(options),
     writer: components.writer,
     markJobDirty: (job) => markJobDirty(components.writer, job),
     schedulePass: () => components.passRunner.schedule(),
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -28,8 +28,8 @@
   clock: Clock;
   entry(): WorkerEntry;
   fencingToken: number;
-  /** Duration of the requested leases. */
-  leaseMs: number;
+  /** Returns the duration of the leases to request now. */
+  leaseMs(): number;
   /** Longest lease that a worker grants. */
   maxLeaseMs: number;
   /** Monotonic time until which leases from predecessors may last. */
@@ -64,8 +64,7 @@
  * await link.run(signal);
  */
 export function makeWorkerLink(options: WorkerLinkOptions): WorkerLink {
-  const { workers, clock, entry, fencingToken, leaseMs, onReport, onRenewalFailed, onFenced } =
-    options;
+  const { workers, clock, entry, fencingToken, onReport, onRenewalFailed, onFenced } = options;
   let lastStoredSequence = 0;
   let incarnationStartMs: number | undefined;
   /** The worker's clock and the latest time at which it was read; undefined while unresponsive. */
@@ -75,6 +74,7 @@
   function leaseUntilMs(): number | undefined {
     if (!clockReading || !options.mayRenew()) return undefined;
     const nowMs = clock.now();
+    const leaseMs = options.leaseMs();
     leasesExpireAtMs = Math.max(
       leasesExpireAtMs,
       nowMs + leaseMs * maxClockDriftFactor + expiryMarginMs,
--- a/src/cell/worker_link_test.ts
+++ b/src/cell/worker_link_test.ts
@@ -55,7 +55,7 @@
     clock,
     entry: () => workerEntry('w1'),
     fencingToken: 7,
-    leaseMs: 4_000,
+    leaseMs: () => 4_000,
     maxLeaseMs: 6_000,
     predecessorLeasesEndAtMs: 0,
     mayRenew: () => state.mayRenew,
--- a/src/testing/fake_term.ts
+++ b/src/testing/fake_term.ts
@@ -2,7 +2,7 @@
  * A scheduler's term for tests, on a given store, without workers and without an advice service.
  */
 import { makeTerm } from '../cell/mod.ts';
-import type { SchedulerTerm } from '../cell/mod.ts';
+import type { SchedulerTerm, TermOptions } from '../cell/mod.ts';
 import { systemClock } from '../clock/mod.ts';
 import { silentLogger } from '../logs/mod.ts';
 import type { Store, WorkerClient } from '../model/mod.ts';
@@ -28,13 +28,16 @@
 }
 
 /**
- * Writes the sequence row of a claim to the store and makes its term.
+ * Writes the sequence row of a claim to the store and makes its term; `options` replace the defaults.
  *
  * @example
  * const term = await makeClaimedTerm(withDelayedWatch(makeFakeStore()));
  * await term.run();
  */
-export async function makeClaimedTerm(store: Store): Promise<SchedulerTerm> {
+export async function makeClaimedTerm(
+  store: Store,
+  options: Partial<TermOptions> = {},
+): Promise<SchedulerTerm> {
   const claimed = await store.transact({ expected: [], writes: [claimedSequenceRow], deletes: [] });
   return makeTerm({
     store,
@@ -58,5 +61,6 @@
     maxLeaseMs: 6_000,
     maxRowBytes: 65_536,
     onEnded: () => undefined,
+    ...options,
   });
 }
