Fence off late calls to a former incarnation of a worker

Cause: a worker that is back under its id carries out calls that were sent to its former incarnation, seconds later. A renewal has a lease end on the former clock, far ahead of the new one, so it grants the longest lease at its arrival. The scheduler allowed for one such grant at the first report of the new incarnation, not for a call that arrives after it, gave the runs of the worker up at the end of the lease that it knew of, and started them elsewhere.

A session ends with a missing response, or once another incarnation is seen in a report or in the registry. The first renewal of the next one raises the token, with no lease and no confirmed ends, so the worker rejects every earlier call, and its list is complete: runs that were ordered before and are not in it are given up. An order that is rejected by its session's token is sent again, and does not end the term. A run whose start may be carried out late by an incarnation that only the registry has shown is given up later.

--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -7,6 +7,7 @@
 import type { StoredRow, WorkerEntry, WorkerReport } from '../model/mod.ts';
 import {
   listLostRunEnds,
+  mayStartInIncarnation,
   updateWorkerBackoff,
   makeWorker,
   reconcileReport,
@@ -15,6 +16,7 @@
   getJobId,
 } from '../scheduler/mod.ts';
 import type { Worker } from '../scheduler/mod.ts';
+import { makeFencingTokens } from './_fencing_tokens.ts';
 import { chooseLeaseMs, mayRenewLeases } from './_leases.ts';
 import type { RunEndHandler } from './_run_end_handler.ts';
 import { progressRow } from './rows.ts';
@@ -70,7 +72,14 @@
     return entry;
   }
 
+  const nextFencingToken = makeFencingTokens({
+    epoch: claim.epoch,
+    onUsedUp: () => term.end('the fencing tokens of its epoch are used up'),
+  });
+
   function stopUnknownRun(worker: Worker, task: string, attempt: number): void {
+    const fencingToken = links.get(worker.entry.id)?.link.fencingToken();
+    if (fencingToken === undefined) return;
     log.warn('a worker runs an attempt that this scheduler did not order', {
       event: 'stop-stranger',
       task,
@@ -78,7 +87,7 @@
       worker: worker.entry.id,
     });
     workers
-      .stop(worker.entry, { task, attempt, fencingToken: claim.epoch })
+      .stop(worker.entry, { task, attempt, fencingToken })
       .catch(logFailure(log, 'a stop order'));
   }
 
@@ -119,13 +128,23 @@
       workers,
       clock,
       entry: () => worker.entry,
-      fencingToken: claim.epoch,
+      nextFencingToken,
       leaseMs: () => chooseLeaseMs(getTimeSinceCommitMs(), term.maxLeaseMs),
       maxLeaseMs: term.maxLeaseMs,
       predecessorLeasesEndAtMs: term.predecessorLeasesEndAtMs,
       isBusy: () => worker.runs.size > 0,
       mayRenew: () => mayRenewLeases(getTimeSinceCommitMs()),
       onReport: (report, sentAtMs) => handleReport(worker, report, sentAtMs),
+      onSessionEnded(nextToken) {
+        worker.isSynced = false;
+        log.info('the session with a worker has ended', {
+          event: 'worker-session-ended',
+          worker: id,
+          born: worker.incarnationStartMs,
+          registered: worker.entry.incarnationStartMs,
+          nextToken,
+        });
+      },
       onRenewalFailed(rejection) {
         if (worker.isResponsive) {
           log.warn('worker does not respond', { event: 'worker-silent', worker: id, rejection });
@@ -166,6 +185,7 @@
       state.workers.set(entry.id, worker);
     }
     if (!links.has(entry.id)) openLink(worker);
+    links.get(entry.id)?.link.recordRegisteredIncarnation(entry.incarnationStartMs);
   }
 
   function markUnregistered(id: string): void {
@@ -179,16 +199,22 @@
   function handleExpiredLeases(worker: Worker, nowMs: number): void {
     if (worker.isResponsive) return;
     const { id } = worker.entry;
-    const leasesExpireAtMs =
-      links.get(id)?.link.leasesExpireAtMs() ?? term.predecessorLeasesEndAtMs;
+    const link = links.get(id)?.link;
+    const leasesExpireAtMs = link?.leasesExpireAtMs() ?? term.predecessorLeasesEndAtMs;
     if (nowMs < leasesExpireAtMs) return;
-    const lost = listLostRunEnds(worker);
+    const lateStartsExpireAtMs = link?.lateStartsExpireAtMs() ?? leasesExpireAtMs;
+    const lost = listLostRunEnds(
+      worker,
+      (run) =>
+        nowMs >= lateStartsExpireAtMs ||
+        !mayStartInIncarnation(run, worker.entry.incarnationStartMs),
+    );
     if (lost.length > 0) {
       log.warn('worker lost', { event: 'worker-lost', worker: id, runs: lost.length });
       endHandler.applyEnds(lost, 'lease expired');
       term.schedulePass();
     }
-    if (!worker.isRegistered) removeWorker(worker);
+    if (!worker.isRegistered && worker.runs.size === 0) removeWorker(worker);
   }
 
   return {
--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -8,7 +8,7 @@
 import type { Clock } from '../clock/mod.ts';
 import type { Logger } from '../logs/mod.ts';
 import { isTerminalState, Rejection } from '../model/mod.ts';
-import type { WorkerClient } from '../model/mod.ts';
+import type { OrderResult, WorkerClient } from '../model/mod.ts';
 import { RunPhase, getRunKey, getTaskName } from '../scheduler/mod.ts';
 import type { CellState, Run, Worker } from '../scheduler/mod.ts';
 import { StartObstacle } from './_start_conditions.ts';
@@ -26,7 +26,6 @@
   workers: WorkerClient;
   clock: Clock;
   log: Logger;
-  fencingToken: number;
   findLink(workerId: string): WorkerLink | undefined;
   hasEnded(): boolean;
   /** Returns why the start order of a run must not be sent now; undefined if it may be. */
@@ -67,7 +66,7 @@
  * await orderSender.start(run);
  */
 export function makeOrderSender(options: OrderSenderOptions): OrderSender {
-  const { state, workers, clock, log, fencingToken, findLink, hasEnded, onRejected } = options;
+  const { state, workers, clock, log, findLink, hasEnded, onRejected } = options;
 
   function logOrder(event: string, run: Run, fields: Record<string, unknown>): void {
     log.info(event, {
@@ -86,33 +85,53 @@
     return ticket ? ticket.validUntilMs <= clock.now() : advice.asked.has(workerId);
   }
 
-  async function sendStart(run: Run, worker: Worker): Promise<Rejection | undefined> {
+  /**
+   * Sends an order with the fencing token of the current session. If the session ends meanwhile, a
+   * rejection by its token does not mean that there is another scheduler: the order is sent again.
+   */
+  async function sendInSession(
+    workerId: string,
+    send: (fencingToken: number) => Promise<OrderResult>,
+  ): Promise<OrderResult> {
+    const fencingToken = findLink(workerId)?.fencingToken();
+    if (fencingToken === undefined) return Rejection.Unknown;
+    const outcome = await send(fencingToken);
+    const isCurrent = findLink(workerId)?.fencingToken() === fencingToken;
+    return outcome === Rejection.Fenced && !isCurrent ? Rejection.Unknown : outcome;
+  }
+
+  async function sendStart(run: Run, worker: Worker): Promise<OrderResult> {
     const leaseUntilMs = findLink(run.workerId)?.leaseUntilMs();
-    if (leaseUntilMs === undefined) return Rejection.Unknown;
+    // Until the list of runs is complete, a report could not tell a run that starts from a lost one.
+    if (leaseUntilMs === undefined || !worker.isSynced) return Rejection.Unknown;
     const { step, index, attempt } = run;
     const ticket = step.advice.tickets.get(run.workerId);
     const { checkpoint } = step.tasks[index]!;
     run.sentAtMs ??= clock.now();
     run.sends += 1;
-    return workers.start(worker.entry, {
-      task: getTaskName(run),
-      attempt,
-      payload: step.job.accepted.spec.payload,
-      leaseUntilMs,
-      fencingToken,
-      ...(checkpoint === '' ? {} : { checkpoint }),
-      ...(ticket ? { ticket: ticket.value } : {}),
-    });
+    return sendInSession(run.workerId, (fencingToken) =>
+      workers.start(worker.entry, {
+        task: getTaskName(run),
+        attempt,
+        payload: step.job.accepted.spec.payload,
+        leaseUntilMs,
+        fencingToken,
+        ...(checkpoint === '' ? {} : { checkpoint }),
+        ...(ticket ? { ticket: ticket.value } : {}),
+      }),
+    );
   }
 
-  function sendStop(run: Run, worker: Worker): Promise<Rejection | undefined> {
+  function sendStop(run: Run, worker: Worker): Promise<OrderResult> {
     // For a worker that had left the registry before this term began, only the id is known.
     if (worker.entry.address === '') return Promise.resolve(Rejection.Unknown);
-    return workers.stop(worker.entry, {
-      task: getTaskName(run),
-      attempt: run.attempt,
-      fencingToken,
-    });
+    return sendInSession(run.workerId, (fencingToken) =>
+      workers.stop(worker.entry, {
+        task: getTaskName(run),
+        attempt: run.attempt,
+        fencingToken,
+      }),
+    );
   }
 
   async function stop(run: Run, reason: string): Promise<void> {
--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -2,54 +2,18 @@
 import * as assert from 'uvu/assert';
 
 import { systemClock } from '../clock/mod.ts';
-import { silentLogger } from '../logs/mod.ts';
 import { Rejection } from '../model/mod.ts';
-import type { WorkerClient } from '../model/mod.ts';
-import { decideStarts, RunPhase } from '../scheduler/mod.ts';
+import { RunPhase } from '../scheduler/mod.ts';
 import type { Run } from '../scheduler/mod.ts';
-import {
-  acceptedJob,
-  cellWithWorkers,
-  configuration,
-  decisionInputs,
-  queue,
-  stepSpec,
-  submit,
-} from '../testing/fake_cell.ts';
-import { makeOrderSender, computeOrderTimes } from './_orders.ts';
-import { findStartObstacle, StartObstacle } from './_start_conditions.ts';
-import type { WorkerLink } from './worker_link.ts';
+import { makeOrders } from '../testing/fake_orders.ts';
+import { computeOrderTimes } from './_orders.ts';
+import { StartObstacle } from './_start_conditions.ts';
 
 const test = suite('order sender');
 
-/** Makes a run on the only worker of a cell, and an order sender that uses the given client. */
-function setUp(
-  workers: Partial<WorkerClient>,
-  onRejected: (rejection: Rejection) => void = () => {},
-  findObstacle: () => StartObstacle | undefined = () => undefined,
-) {
-  const state = cellWithWorkers(1);
-  submit(state, acceptedJob('a', [stepSpec()]));
-  const [run] = decideStarts(state, decisionInputs()).starts;
-  const orders = makeOrderSender({
-    state,
-    workers: workers as WorkerClient,
-    clock: systemClock,
-    log: silentLogger,
-    fencingToken: 1,
-    findLink: () => ({ leaseUntilMs: () => 1_000 }) as Partial<WorkerLink> as WorkerLink,
-    hasEnded: () => false,
-    findObstacle,
-    onRejected: (_run, rejection) => onRejected(rejection),
-    onStarted: () => undefined,
-    onFenced: () => undefined,
-  });
-  return { state, run: run!, orders };
-}
-
 test('a stop at a worker that has left the registry waits until its address is known', async () => {
   const asked: string[] = [];
-  const { state, run, orders } = setUp({
+  const { state, run, orders } = makeOrders({
     async stop({ address }) {
       asked.push(address);
       return undefined;
@@ -66,10 +30,57 @@
   assert.equal(asked, [entry.address]);
 });
 
+// Guards against a term that ends itself, as the worker rejects an order of an earlier session.
+test('an order that is fenced off because its session has ended is sent again in the next one', async () => {
+  const tokens: number[] = [];
+  const link = { token: 1 };
+  let fenced = 0;
+  const { run, orders } = makeOrders(
+    {
+      async start(_worker, { fencingToken }) {
+        tokens.push(fencingToken);
+        if (tokens.length > 1) return undefined;
+        link.token = 2;
+        return Rejection.Fenced;
+      },
+    },
+    undefined,
+    undefined,
+    {
+      getToken: () => link.token,
+      onFenced() {
+        fenced += 1;
+      },
+    },
+  );
+  await orders.start(run);
+  assert.equal(tokens, [1, 2]);
+  assert.is(fenced, 0);
+});
+
+// Guards against a start that no report can tell from a lost one.
+test('no start is sent to a worker whose list of runs is not complete', async () => {
+  let sent = 0;
+  const { state, run, orders } = makeOrders({
+    async start() {
+      sent += 1;
+      return undefined;
+    },
+  });
+  const worker = state.workers.get(run.workerId)!;
+  worker.isSynced = false;
+  const starting = orders.start(run);
+  await systemClock.sleep(10);
+  assert.is(sent, 0);
+  worker.isSynced = true;
+  await starting;
+  assert.is(sent, 1);
+});
+
 test('a start that was sent is not rejected when its ticket expires before the response', async () => {
   const rejected: Rejection[] = [];
   let sent = 0;
-  const { run, orders } = setUp(
+  const { run, orders } = makeOrders(
     {
       async start() {
         sent += 1;
@@ -88,7 +99,7 @@
 test('a run that its worker has listed is not stopped because its repeated start is rejected', async () => {
   const outcomes: unknown[] = [];
   let sent = 0;
-  const { run, orders } = setUp(
+  const { run, orders } = makeOrders(
     {
       async start() {
         sent += 1;
@@ -118,7 +129,7 @@
 test('further starts of a step are not sent without the ticket that expired for the first one', async () => {
   const rejected: Rejection[] = [];
   let sent = 0;
-  const { run, orders } = setUp(
+  const { run, orders } = makeOrders(
     {
       async start() {
         sent += 1;
@@ -142,7 +153,7 @@
 async function sendStart(answer: (run: Run) => Rejection) {
   const rejected: Rejection[] = [];
   const stopped: number[] = [];
-  const { run, orders } = setUp(
+  const { run, orders } = makeOrders(
     {
       start: async () => answer(run),
       async stop(_worker, { attempt }) {
@@ -186,7 +197,7 @@
 
 test('the log distinguishes a start sent late or repeatedly from one with a late response', async () => {
   let sent = 0;
-  const { run, orders } = setUp({
+  const { run, orders } = makeOrders({
     async start() {
       sent += 1;
       return sent === 1 ? Rejection.Unknown : undefined;
@@ -204,7 +215,7 @@
 
 test('a start that was decided before an evacuation is not sent after it', async () => {
   const outcomes: unknown[] = [];
-  const { run, orders } = setUp(
+  const { run, orders } = makeOrders(
     {
       async start() {
         outcomes.push('sent');
@@ -221,7 +232,7 @@
 test('an unanswered start is not sent again after an evacuation, and cannot take effect later', async () => {
   const calls: string[] = [];
   let obstacle: StartObstacle | undefined;
-  const { run, orders } = setUp(
+  const { run, orders } = makeOrders(
     {
       async start() {
         calls.push('start');
@@ -243,7 +254,7 @@
 test('no start is sent while the operator state may be stale, as after a pause of the process', async () => {
   const sentAtMs: number[] = [];
   const freshAtMs = systemClock.now() + 200;
-  const { run, orders } = setUp(
+  const { run, orders } = makeOrders(
     {
       async start() {
         sentAtMs.push(systemClock.now());
@@ -258,42 +269,4 @@
   assert.ok(sentAtMs[0]! >= freshAtMs);
 });
 
-test('the conditions of a start are those in force when it is sent', () => {
-  const { state, run } = setUp({});
-  const worker = state.workers.get(run.workerId)!;
-  const upperLimit = (cpu: number) => ({ cpu, memoryMb: 0, gpu: 0 });
-  const [organisation] = configuration().organisations;
-  const find = ({
-    ageMs = 0,
-    evacuated = [] as string[],
-    service = 'ledger',
-    limitCpu = 0,
-    isDraining = false,
-  }) => {
-    worker.entry = { ...worker.entry, isDraining };
-    return findStartObstacle(
-      {
-        state,
-        clock: systemClock,
-        operatorState: () => ({
-          configuration: configuration([queue({ service })], {
-            organisations: [{ ...organisation!, upperLimit: upperLimit(limitCpu) }],
-          }),
-          evacuated: new Set(evacuated),
-          currentAtMs: systemClock.now() - ageMs,
-        }),
-      },
-      run,
-      worker,
-    );
-  };
-  assert.is(find({}), undefined);
-  assert.is(find({ ageMs: 2_000 }), StartObstacle.Stale);
-  assert.is(find({ evacuated: ['north'] }), StartObstacle.Evacuated);
-  assert.is(find({ service: 'other' }), StartObstacle.Service);
-  assert.is(find({ limitCpu: 999 }), StartObstacle.Limit);
-  assert.is(find({ limitCpu: 1_000 }), undefined);
-  assert.is(find({ isDraining: true }), StartObstacle.Draining);
-});
-
 test.run();
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -129,7 +129,6 @@
     workers,
     clock,
     log,
-    fencingToken: claim.epoch,
     findLink: fleet.findLink,
     hasEnded: () => endController.signal.aborted,
     findObstacle: (run, worker) => findStartObstacle(term, run, worker),
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -4,6 +4,12 @@
  *
  * Lease renewal is a long poll: the worker responds as soon as a run ends. The next renewal confirms
  * the reported ends to the worker, but only after they have been stored.
+ *
+ * A worker that starts again under its id carries out calls that were sent to its former incarnation,
+ * also seconds later. The calls of a link therefore belong to sessions. A session ends with the first
+ * renewal without a response, or once another incarnation is known; the first renewal of the next one
+ * carries a higher fencing token, which blocks all earlier calls, and neither extends leases nor confirms
+ * ends. Its report is complete: what it does not list can no longer start.
  */
 import type { Clock } from '../clock/mod.ts';
 import { Rejection } from '../model/mod.ts';
@@ -12,14 +18,23 @@
 /** The link to one worker. */
 export interface WorkerLink {
   run(signal: AbortSignal): Promise<void>;
+  /** Fencing token of the current session. */
+  fencingToken(): number;
   /**
    * Returns the lease end for an order that is sent now, on the worker's clock, and postpones
-   * `leasesExpireAtMs`. Undefined while the worker is unresponsive, since any order would postpone
-   * that time, and while leases may not be renewed, since a start order renews them too.
+   * `leasesExpireAtMs`. Undefined between sessions, since any order would postpone that time, and while
+   * leases may not be renewed, since a start order renews them too.
    */
   leaseUntilMs(): number | undefined;
   /** Monotonic time after which nothing runs on the worker unless its leases are renewed. */
   leasesExpireAtMs(): number;
+  /**
+   * The same for runs whose start orders may be carried out late by an incarnation that has not
+   * responded yet.
+   */
+  lateStartsExpireAtMs(): number;
+  /** Records the incarnation that the registry shows; another one ends the session. */
+  recordRegisteredIncarnation(incarnationStartMs: number): void;
 }
 
 /** Dependencies and callbacks of a {@link WorkerLink}. */
@@ -27,7 +42,8 @@
   workers: WorkerClient;
   clock: Clock;
   entry(): WorkerEntry;
-  fencingToken: number;
+  /** Returns a higher fencing token with each call. */
+  nextFencingToken(): number;
   /** Returns the duration of the leases to request now. */
   leaseMs(): number;
   /** Longest lease that a worker grants. */
@@ -40,6 +56,8 @@
   isBusy(): boolean;
   /** Handles a report; resolves with true once the ends in it are stored. */
   onReport(report: WorkerReport, sentAtMs: number): Promise<boolean>;
+  /** Called when a session has ended: the next report belongs to the one with this token. */
+  onSessionEnded(nextToken: number): void;
   onRenewalFailed(rejection: Rejection): void;
   onFenced(): void;
   /** Called when handling a report throws; the link goes on. */
@@ -55,26 +73,40 @@
 /** A worker's clock may run slower than this process's clock by this factor. */
 export const maxClockDriftFactor = 1.025;
 const expiryMarginMs = 100;
+/** A call without a response may be carried out up to this much later. */
+const maxCallDelayMs = 12_000;
 
 /**
  * Makes a link to a worker.
  *
  * @example
- * const link = makeWorkerLink({ workers, clock, entry: () => worker.entry, fencingToken: 4, ... });
+ * const link = makeWorkerLink({ workers, clock, entry: () => worker.entry, nextFencingToken, ... });
  * await link.run(signal);
  */
 export function makeWorkerLink(options: WorkerLinkOptions): WorkerLink {
-  const { workers, clock, entry, fencingToken, onReport, onRenewalFailed, onFenced } = options;
+  const { workers, clock, entry, nextFencingToken, onReport, onRenewalFailed, onFenced } = options;
+  const maxRemainingLeaseMs = options.maxLeaseMs * maxClockDriftFactor + expiryMarginMs;
+  let fencingToken = nextFencingToken();
   let lastStoredSequence = 0;
+  /** Incarnation of the last session that was opened. */
   let incarnationStartMs: number | undefined;
-  /** The worker's clock and the latest time at which it was read; undefined while unresponsive. */
+  /** The worker's clock and the latest time at which it was read; undefined between sessions. */
   let clockReading: { workerMs: number; atMs: number } | undefined;
   let leasesExpireAtMs = options.predecessorLeasesEndAtMs;
+  /** Monotonic time of the last order with a lease, or the last that predecessors may have sent. */
+  let lastOrderAtMs = options.predecessorLeasesEndAtMs - maxRemainingLeaseMs;
+  let registeredIncarnationMs = 0;
+  let stopWaiting: (() => void) | undefined;
+
+  function extendToLongestLease(): void {
+    leasesExpireAtMs = Math.max(leasesExpireAtMs, clock.now() + maxRemainingLeaseMs);
+  }
 
   function leaseUntilMs(): number | undefined {
     if (!clockReading || !options.mayRenew()) return undefined;
     const nowMs = clock.now();
     const leaseMs = options.leaseMs();
+    lastOrderAtMs = nowMs;
     leasesExpireAtMs = Math.max(
       leasesExpireAtMs,
       nowMs + leaseMs * maxClockDriftFactor + expiryMarginMs,
@@ -82,38 +114,65 @@
     return Math.floor(clockReading.workerMs + (nowMs - clockReading.atMs) + leaseMs);
   }
 
+  function endSession(): void {
+    if (!clockReading) return;
+    clockReading = undefined;
+    lastStoredSequence = 0;
+    fencingToken = nextFencingToken();
+    options.onSessionEnded(fencingToken);
+    stopWaiting?.();
+  }
+
+  function openSession(report: WorkerReport): void {
+    // A call of the former session may have been the last one that was carried out before this report.
+    // Its lease end, on the clock of a former incarnation, lies far in the future.
+    if (report.incarnationStartMs !== incarnationStartMs) extendToLongestLease();
+    incarnationStartMs = report.incarnationStartMs;
+  }
+
   async function handleReport(report: WorkerReport, sentAtMs: number): Promise<void> {
-    if (incarnationStartMs !== undefined && report.incarnationStartMs !== incarnationStartMs) {
-      lastStoredSequence = 0;
-      // The new incarnation may have received an order whose lease end, on the former incarnation's
-      // clock, lies far in the future.
-      const maxRemainingLeaseMs = options.maxLeaseMs * maxClockDriftFactor + expiryMarginMs;
-      leasesExpireAtMs = Math.max(leasesExpireAtMs, clock.now() + maxRemainingLeaseMs);
+    if (!clockReading) openSession(report);
+    else if (report.incarnationStartMs !== incarnationStartMs) {
+      // The renewal reached an incarnation for which it was not meant, and its report is not complete.
+      extendToLongestLease();
+      endSession();
+      return;
     }
-    incarnationStartMs = report.incarnationStartMs;
     clockReading = { workerMs: report.clockMs, atMs: clock.now() };
+    const reportToken = fencingToken;
     const newestSequence = Math.max(0, ...report.ended.map(({ sequence }) => sequence));
     const storing = onReport(report, sentAtMs).then(async (isStored) => {
       // The worker lists the ends again at once until they are confirmed.
       if (!isStored) await clock.sleep(maxStoreWaitMs);
-      else if (report.incarnationStartMs === incarnationStartMs)
+      else if (reportToken === fencingToken)
         lastStoredSequence = Math.max(lastStoredSequence, newestSequence);
     });
     // Leases are renewed even while the store does not respond.
     await Promise.race([storing, clock.sleep(maxStoreWaitMs)]);
   }
 
-  async function renewLease(): Promise<void> {
-    const sentAtMs = clock.now();
+  /** Sends a renewal; resolves with undefined when its session ends before the response. */
+  function sendRenewal(): Promise<WorkerReport | Rejection | undefined> {
+    const sessionEnd = new Promise<undefined>((resolve) => {
+      stopWaiting = () => resolve(undefined);
+    });
     const leaseEndMs = leaseUntilMs();
     const renewalWaitMs = options.isBusy() ? busyRenewalWaitMs : idleRenewalWaitMs;
-    const result = await workers.renewLease(entry(), {
+    const response = workers.renewLease(entry(), {
       fencingToken,
-      // After a failed renewal the worker may be another incarnation, which numbers its ends anew.
+      // The worker may be another incarnation, which numbers its ends anew.
       lastSeen: leaseEndMs === undefined ? 0 : lastStoredSequence,
       ...(leaseEndMs === undefined ? {} : { leaseUntilMs: leaseEndMs }),
       waitMs: leaseEndMs === undefined ? 0 : renewalWaitMs,
     });
+    return Promise.race([response, sessionEnd]);
+  }
+
+  async function renewLease(): Promise<void> {
+    const sentAtMs = clock.now();
+    const sentToken = fencingToken;
+    const result = await sendRenewal();
+    if (result === undefined || sentToken !== fencingToken) return;
     if (typeof result !== 'string') {
       await handleReport(result, sentAtMs);
       return;
@@ -122,7 +181,7 @@
       onFenced();
       return;
     }
-    clockReading = undefined;
+    endSession();
     onRenewalFailed(result);
     await clock.sleep(retryDelayMs);
   }
@@ -138,8 +197,16 @@
   }
 
   return {
+    fencingToken: () => fencingToken,
     leaseUntilMs,
     leasesExpireAtMs: () => leasesExpireAtMs,
+    lateStartsExpireAtMs: () =>
+      Math.max(leasesExpireAtMs, lastOrderAtMs + maxCallDelayMs + maxRemainingLeaseMs),
+    recordRegisteredIncarnation(registeredMs) {
+      if (registeredMs === registeredIncarnationMs) return;
+      registeredIncarnationMs = registeredMs;
+      if (registeredMs > (incarnationStartMs ?? 0)) endSession();
+    },
     async run(signal) {
       while (!signal.aborted) {
         if (options.mayRenew()) await tryRenewLease();
--- a/src/cell/worker_link_test.ts
+++ b/src/cell/worker_link_test.ts
@@ -11,12 +11,12 @@
 const test = suite('worker link');
 
 /** A promise that never settles. */
-const neverSettled = Promise.race<boolean>([]);
+const neverSettled = Promise.race<never>([]);
 
 type Renewal = Parameters<WorkerClient['renewLease']>[1];
 
 /** Makes a link whose worker gives the responses in turn; each takes 100 ms of a simulated clock. */
-function setUp(responses: (WorkerReport | Rejection)[]) {
+function setUp(responses: (WorkerReport | Rejection | Promise<never>)[]) {
   const abort = new AbortController();
   const renewals: Renewal[] = [];
   const state = {
@@ -27,6 +27,9 @@
     reportedAtMs: 0,
     failsOnce: false,
     errors: 0,
+    tokens: 6,
+    sessionsEnded: 0,
+    reports: 0,
   };
   let nowMs = 0;
   const clock: Clock = {
@@ -54,13 +57,17 @@
     workers,
     clock,
     entry: () => workerEntry('w1'),
-    fencingToken: 7,
+    nextFencingToken() {
+      state.tokens += 1;
+      return state.tokens;
+    },
     leaseMs: () => 4_000,
     maxLeaseMs: 6_000,
     predecessorLeasesEndAtMs: 0,
     mayRenew: () => state.mayRenew,
     onReport() {
       state.reportedAtMs = nowMs;
+      state.reports += 1;
       if (state.failsOnce) {
         state.failsOnce = false;
         throw new Error('unexpected');
@@ -68,6 +75,9 @@
       return state.neverStores ? neverSettled : Promise.resolve(state.stored);
     },
     isBusy: () => true,
+    onSessionEnded() {
+      state.sessionsEnded += 1;
+    },
     onRenewalFailed: () => undefined,
     onFenced() {
       state.fenced = true;
@@ -176,13 +186,85 @@
   );
 });
 
+// Guards against a late call to a former incarnation that extends leases, confirms ends or starts a task.
+test('the renewal after a missing response carries a higher token, without a lease or confirmed ends', async () => {
+  const { renewals, state, run } = setUp([
+    report(50_000, { ended: [ended(57)] }),
+    Rejection.Unknown,
+    Rejection.Unknown,
+    report(5, { incarnationStartMs: 2 }),
+    report(105, { incarnationStartMs: 2 }),
+  ]);
+  await run();
+  assert.equal(
+    renewals.map((renewal) => renewal.fencingToken),
+    [7, 7, 8, 8, 8],
+  );
+  assert.equal(
+    renewals.map(({ lastSeen, leaseUntilMs }) => [lastSeen, leaseUntilMs !== undefined]),
+    [
+      [0, false],
+      [57, true],
+      [0, false],
+      [0, false],
+      [0, true],
+    ],
+  );
+  assert.is(state.sessionsEnded, 1);
+});
+
+// Guards against a list that counts as complete although orders to the former incarnation may still start.
+test('the report of a renewal that was meant for another incarnation is not handled', async () => {
+  const { renewals, state, run } = setUp([
+    report(50_000),
+    report(5, { incarnationStartMs: 2 }),
+    report(105, { incarnationStartMs: 2 }),
+  ]);
+  await run();
+  assert.is(state.reports, 2);
+  assert.equal(
+    renewals.map((renewal) => renewal.fencingToken),
+    [7, 7, 8],
+  );
+});
+
+// Guards against seconds in which a worker that is back has not seen the token that blocks late calls.
+test('a new incarnation in the registry ends the session without waiting for the pending renewal', async () => {
+  const { link, renewals, state, run } = setUp([
+    report(50_000, { incarnationStartMs: 10 }),
+    neverSettled,
+    report(5, { incarnationStartMs: 20 }),
+    report(105, { incarnationStartMs: 20 }),
+  ]);
+  const running = run();
+  while (renewals.length < 2) await systemClock.sleep(1);
+  link.recordRegisteredIncarnation(10);
+  assert.is(link.fencingToken(), 7);
+  link.recordRegisteredIncarnation(20);
+  assert.is(link.leaseUntilMs(), undefined);
+  await running;
+  link.recordRegisteredIncarnation(20);
+  assert.is(state.sessionsEnded, 1);
+  assert.is(renewals.at(-1)!.fencingToken, 8);
+});
+
+// Guards against a run that is given up while an order that the worker carries out late starts it.
+test('a late start can run until its order is too old and the longest lease has ended', async () => {
+  const { link, run } = setUp([report(50_000), Rejection.Unknown]);
+  await run();
+  const lastOrderAtMs = 100;
+  assert.ok(link.lateStartsExpireAtMs() >= lastOrderAtMs + 12_000 + 6_000);
+});
+
 test('a start that reached a new incarnation may run for the longest lease of that worker', async () => {
   const { link, state, run } = setUp([
     report(50_000),
     report(5, { incarnationStartMs: 2 }),
+    report(105, { incarnationStartMs: 2 }),
     Rejection.Unknown,
   ]);
   await run();
+  assert.ok(state.reportedAtMs > 200, 'the report of the new session');
   assert.ok(link.leasesExpireAtMs() >= state.reportedAtMs + 6_000);
 });
 
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -154,6 +154,7 @@
       state.workers.set(workerId, worker);
     }
     const run = makeRun({ step, index, attempt, workerId, incarnationStartMs }, nowMs);
+    run.isRestored = true;
     task.runs.push(run);
     allocateRun(state, worker, run);
   });
--- a/src/scheduler/records_test.ts
+++ b/src/scheduler/records_test.ts
@@ -16,7 +16,7 @@
 import { maxStartedTasks } from './_place_step.ts';
 import { encodeProgress, restoreProgress } from './records.ts';
 import type { JobRecord } from './records.ts';
-import { getTaskName } from './state.ts';
+import { getTaskName, makeCellState } from './state.ts';
 import type { CellState, Job, Run } from './state.ts';
 
 const test = suite('records');
@@ -94,6 +94,32 @@
   }
 });
 
+test('encoding and restoring progress keeps attempts, failures, done tasks and runs', () => {
+  const state = cellWithWorkers(2);
+  const accepted = acceptedJob('a', [stepSpec({ count: 4 })]);
+  const job = submit(state, accepted);
+  const [done, run] = start(state);
+  const { tasks } = job.occurrences.get(0)![0]!;
+  endRun(state, done!, { end: RunEnd.Done, checkpoint: '' }, { maxAttempts: 3, nowMs: 1 });
+  Object.assign(tasks[3]!, { failures: 1, checkpoint: 'c1', runs: [] });
+  const record = JSON.parse(JSON.stringify(encodeProgress(job))) as JobRecord;
+
+  const successor = makeCellState();
+  const restored = addJob(successor, accepted, 0);
+  restoreProgress(successor, restored, record, 100);
+  const [step] = restored.occurrences.get(0)!;
+  assert.is(step!.remainingTasks, 3);
+  assert.is(restored.startedTasks, 3);
+  assert.equal(
+    step!.tasks.map(({ attempt, failures, isDone, checkpoint }) =>
+      isDone ? 'done' : [attempt, failures, checkpoint],
+    ),
+    ['done', [1, 0, ''], [1, 0, ''], [1, 1, 'c1']],
+  );
+  assert.is(successor.workers.get(run!.workerId)!.isRegistered, false);
+  assert.is(successor.usage.get('mill')!.cpu, 2_000);
+});
+
 // Guards against a job given up after one failed attempt, as a successor counts its other members again.
 test('the members of a gang that fail in one attempt count once, also across a takeover', () => {
   const accepted = acceptedJob('a', [stepSpec({ count: 3, gang: true })]);
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -41,6 +41,8 @@
   progressAtMs: number;
   /** A start order is being sent, or was sent and may still take effect. */
   isStartUncertain: boolean;
+  /** Restored from the store: a predecessor may have sent the start order any number of times. */
+  isRestored: boolean;
 }
 
 /** A task of a step and its progress. */
@@ -142,7 +144,7 @@
   entry: WorkerEntry;
   /** Incarnation that responded last; 0 before the first response. */
   incarnationStartMs: number;
-  /** It has responded under this scheduler's fencing token, so its list of runs is complete. */
+  /** It has responded under the fencing token of the current session, so its list of runs is complete. */
   isSynced: boolean;
   /** Monotonic time of its last report. */
   reportedAtMs: number;
@@ -258,6 +260,7 @@
     percent: 0,
     progressAtMs: nowMs,
     isStartUncertain: false,
+    isRestored: false,
   };
 }
 
--- a/src/scheduler/workers.ts
+++ b/src/scheduler/workers.ts
@@ -31,9 +31,9 @@
   return { run, end: RunEnd.Expired, checkpoint: '' };
 }
 
-/** Lists the ends of all runs of a worker whose lease has expired. */
-export function listLostRunEnds(worker: Worker): ObservedEnd[] {
-  return [...worker.runs.values()].map(makeLostRunEnd);
+/** Lists the ends of the runs of an unresponsive worker whose leases have expired. */
+export function listLostRunEnds(worker: Worker, hasExpired: (run: Run) => boolean): ObservedEnd[] {
+  return [...worker.runs.values()].filter(hasExpired).map(makeLostRunEnd);
 }
 
 function recordProgress(worker: Worker, report: WorkerReport, nowMs: number): void {
@@ -54,6 +54,20 @@
   });
 }
 
+/** Whether the start order was not sent yet, so that no report can list the run. */
+function isUnsent({ isRestored, phase, sends }: Run): boolean {
+  return !isRestored && phase === RunPhase.Ordered && sends === 0;
+}
+
+/**
+ * Whether an incarnation of the worker that started after the run was ordered, and has not responded
+ * yet, may carry out its start order: an order without a response can take effect late.
+ */
+export function mayStartInIncarnation(run: Run, incarnationStartMs: number): boolean {
+  const isRepeated = run.isRestored || run.isStartUncertain || run.sends > 1;
+  return isRepeated && incarnationStartMs > run.incarnationStartMs;
+}
+
 /** Whether a start order may still take effect, or took effect after the report was requested. */
 function mayStillStart(run: Run, sentAtMs: number): boolean {
   return run.phase === RunPhase.Ordered || run.isStartUncertain || run.progressAtMs >= sentAtMs;
@@ -84,8 +98,8 @@
   report: WorkerReport,
   { nowMs, sentAtMs }: { nowMs: number; sentAtMs: number },
 ): Reconciliation {
-  // This scheduler's fencing token now blocks all orders of its predecessors: a run that is not in the
-  // first complete list has not started and never will.
+  // The session's fencing token now blocks all earlier orders: a run that was ordered before and is not
+  // in the first complete list has not started and never will.
   const isFirst = !worker.isSynced;
   worker.incarnationStartMs = report.incarnationStartMs;
   if (!worker.isResponsive || nowMs - worker.reportedAtMs > maxReportGapMs) {
@@ -95,7 +109,7 @@
   worker.isResponsive = true;
   worker.isSynced ||= !report.hasMoreEnds;
   const listed = new Set([...report.running, ...report.ended].map(formatRunKey));
-  const mayStart = (run: Run) => !isFirst && mayStillStart(run, sentAtMs);
+  const mayStart = (run: Run) => (isFirst ? isUnsent(run) : mayStillStart(run, sentAtMs));
   const mayExist = (run: Run) => listed.has(getRunKey(run)) || mayStart(run);
   adoptRuns(worker, report, mayExist);
   recordProgress(worker, report, nowMs);
--- a/src/scheduler/workers_test.ts
+++ b/src/scheduler/workers_test.ts
@@ -12,12 +12,15 @@
   submit,
 } from '../testing/fake_cell.ts';
 import { decideStarts } from './decide.ts';
-import { addJob, countPendingJobs, endRun } from './jobs.ts';
-import { encodeProgress, restoreProgress } from './records.ts';
-import type { JobRecord } from './records.ts';
+import { countPendingJobs } from './jobs.ts';
 import { getRunKey, getTaskName, makeCellState, RunPhase } from './state.ts';
 import type { CellState, Run } from './state.ts';
-import { findStalledRuns, reconcileReport, updateWorkerBackoff } from './workers.ts';
+import {
+  findStalledRuns,
+  mayStartInIncarnation,
+  reconcileReport,
+  updateWorkerBackoff,
+} from './workers.ts';
 
 const test = suite('workers');
 
@@ -111,7 +114,7 @@
   submit(state, acceptedJob('a', [stepSpec({ count: 2 })]));
   const [kept, lost] = startAll(state);
   [kept, lost].forEach((run) => {
-    run!.phase = RunPhase.Ordered;
+    Object.assign(run!, { phase: RunPhase.Ordered, isRestored: true });
   });
   worker.isSynced = false;
   const { ends } = reconcileReport(worker, makeReport({ running: [makeRunningRun(kept!)] }), {
@@ -125,12 +128,53 @@
   assert.ok(worker.isSynced);
 });
 
+// Guards against a second run of a task: its first start was fenced off, or only waits to be sent.
+test('the first list of a new session ends the runs that were ordered before and are not in it', () => {
+  const state = cellWithWorkers(1);
+  const worker = state.workers.get('w1')!;
+  submit(state, acceptedJob('a', [stepSpec({ count: 4 })]));
+  const [listed, confirmed, unanswered, unsent] = startAll(state);
+  [listed!, confirmed!, unanswered!].forEach((run) => Object.assign(run, { sends: 1 }));
+  Object.assign(confirmed!, { progressAtMs: 8 });
+  Object.assign(unanswered!, { phase: RunPhase.Ordered, isStartUncertain: true });
+  Object.assign(unsent!, { phase: RunPhase.Ordered });
+  worker.isSynced = false;
+  const report = makeReport({ incarnationStartMs: 2, running: [makeRunningRun(listed!)] });
+  const { ends } = reconcileReport(worker, report, { nowMs: 10, sentAtMs: 5 });
+  assert.equal(
+    ends.map(({ run }) => getTaskName(run)),
+    [confirmed!, unanswered!].map(getTaskName),
+  );
+  assert.is(listed!.incarnationStartMs, 2);
+  assert.is(unsent!.incarnationStartMs, 2);
+});
+
+// Guards against a task that is started elsewhere while a late order starts it on a reborn worker.
+test('only a start that may have been sent in vain can take effect in an incarnation not yet seen', () => {
+  const state = cellWithWorkers(1);
+  submit(state, acceptedJob('a', [stepSpec({ count: 4 })]));
+  const [confirmed, unanswered, repeated, restored] = startAll(state);
+  confirmed!.sends = 1;
+  Object.assign(unanswered!, { sends: 1, isStartUncertain: true });
+  repeated!.sends = 2;
+  restored!.isRestored = true;
+  const runs = [confirmed!, unanswered!, repeated!, restored!];
+  assert.equal(
+    runs.map((run) => mayStartInIncarnation(run, 2)),
+    [false, true, true, true],
+  );
+  assert.not.ok(
+    runs.some((run) => mayStartInIncarnation(run, 1)),
+    'the incarnation is known',
+  );
+});
+
 test('a run whose end may be on a later page of the report does not count as lost', () => {
   const state = cellWithWorkers(1);
   const worker = state.workers.get('w1')!;
   submit(state, acceptedJob('a', [stepSpec({ count: 2 })]));
   const [first, second] = startAll(state);
-  second!.phase = RunPhase.Ordered;
+  Object.assign(second!, { phase: RunPhase.Ordered, isRestored: true });
   worker.isSynced = false;
   const page = { incarnationStartMs: 2, hasMoreEnds: true, ended: [makeEndedRun(first!)] };
   const { ends } = reconcileReport(worker, makeReport(page), { nowMs: 10, sentAtMs: 5 });
@@ -218,32 +262,6 @@
   assert.is(worker.consecutiveFailures, 0);
 });
 
-test('encoding and restoring progress keeps attempts, failures, done tasks and runs', () => {
-  const state = cellWithWorkers(2);
-  const accepted = acceptedJob('a', [stepSpec({ count: 4 })]);
-  const job = submit(state, accepted);
-  const [done, run] = startAll(state);
-  const { tasks } = job.occurrences.get(0)![0]!;
-  endRun(state, done!, { end: RunEnd.Done, checkpoint: '' }, { maxAttempts: 3, nowMs: 1 });
-  Object.assign(tasks[3]!, { failures: 1, checkpoint: 'c1', runs: [] });
-  const record = JSON.parse(JSON.stringify(encodeProgress(job))) as JobRecord;
-
-  const successor = makeCellState();
-  const restored = addJob(successor, accepted, 0);
-  restoreProgress(successor, restored, record, 100);
-  const [step] = restored.occurrences.get(0)!;
-  assert.is(step!.remainingTasks, 3);
-  assert.is(restored.startedTasks, 3);
-  assert.equal(
-    step!.tasks.map(({ attempt, failures, isDone, checkpoint }) =>
-      isDone ? 'done' : [attempt, failures, checkpoint],
-    ),
-    ['done', [1, 0, ''], [1, 0, ''], [1, 1, 'c1']],
-  );
-  assert.is(successor.workers.get(run!.workerId)!.isRegistered, false);
-  assert.is(successor.usage.get('mill')!.cpu, 2_000);
-});
-
 test('a job is pending until a worker has confirmed a start, even if a start was ordered', () => {
   const state = cellWithWorkers(1);
   submit(state, acceptedJob('a', [stepSpec()]));
