--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -7,10 +7,11 @@
  *
  * A worker that starts again under its id carries out calls that were sent to its former incarnation,
  * also seconds later. The calls of a link therefore belong to sessions. A session ends with the first
- * renewal without a response, or once another incarnation is known; the first renewal of the next one
+ * renewal without a response, after a pause, or once another incarnation is known; the first renewal of the next one
  * carries a higher fencing token, which blocks all earlier calls, and neither extends leases nor confirms
  * ends. Its report is complete: what it does not list can no longer start.
  */
+import { makeTimeMark } from '../clock/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import { Rejection } from '../model/mod.ts';
 import type { WorkerEntry, WorkerReport, WorkerClient } from '../model/mod.ts';
@@ -73,6 +74,8 @@
 /** A worker's clock may run slower than this process's clock by this factor. */
 export const maxClockDriftFactor = 1.025;
 const expiryMarginMs = 100;
+/** Without a call for this long, the worker may have started again unnoticed. */
+const maxSessionPauseMs = 2_000;
 /** A call without a response may be carried out up to this much later. */
 const maxCallDelayMs = 12_000;
 
@@ -92,6 +95,8 @@
   let incarnationStartMs: number | undefined;
   /** The worker's clock and the latest time at which it was read; undefined between sessions. */
   let clockReading: { workerMs: number; atMs: number } | undefined;
+  /** Time of that reading, moved back by later suspensions of this machine. */
+  const lastReading = makeTimeMark(clock);
   let leasesExpireAtMs = options.predecessorLeasesEndAtMs;
   /** Monotonic time of the last order with a lease, or the last that predecessors may have sent. */
   let lastOrderAtMs = options.predecessorLeasesEndAtMs - maxRemainingLeaseMs;
@@ -139,6 +144,7 @@
       return;
     }
     clockReading = { workerMs: report.clockMs, atMs: clock.now() };
+    lastReading.record(clockReading.atMs);
     const reportToken = fencingToken;
     const newestSequence = Math.max(0, ...report.ended.map(({ sequence }) => sequence));
     const storing = onReport(report, sentAtMs).then(async (isStored) => {
@@ -168,7 +174,14 @@
     return Promise.race([response, sessionEnd]);
   }
 
+  /** Ends a session whose next renewal was delayed, as by a store that does not respond or a pause. */
+  function endPausedSession(): void {
+    const readAtMs = lastReading.atMs() ?? -Infinity;
+    if (clock.now() - readAtMs > maxSessionPauseMs) endSession();
+  }
+
   async function renewLease(): Promise<void> {
+    endPausedSession();
     const sentAtMs = clock.now();
     const sentToken = fencingToken;
     const result = await sendRenewal();
