Test with real sockets that a late renewal to a former incarnation is rejected

The stand-in of a worker can leave a renewal without a response and carry it out later, in whatever incarnation runs by then.

--- a/src/host/host_test.ts
+++ b/src/host/host_test.ts
@@ -232,4 +232,17 @@
     await cluster.waitForState(path, 'completed');
   }));
 
+// Guards against a run that goes on after it was started elsewhere: a late renewal extended its lease.
+test('a renewal that was meant for a former incarnation of a worker extends no lease of the next one', async () => {
+  await withCluster({ hosts: 1, workers: 1 }, async (cluster) => {
+    const [worker] = cluster.standin.workers;
+    const carryOutLate = await worker!.holdBackRenewal();
+    worker!.crash();
+    // The scheduler has renewed the leases of the new incarnation when it sends the next renewal.
+    await worker!.holdBackRenewal();
+    const response = await carryOutLate();
+    assert.is(response?.status, 409);
+  });
+});
+
 test.run();
