--- a/src/cell/term_test.ts
+++ b/src/cell/term_test.ts
@@ -148,8 +148,7 @@
   });
   const running = term.run();
   await waitFor(() => store.getValue('leadership', 'heartbeat'));
-  // A lost zone is calm 11 s after its loss, and work may then stand still for 3 s; 3 s are left for
-  // finding the loss and for the claim.
+  // Work must run again 14 s after the loss of its data centre, of which detection and claim take up to 3 s.
   const maxWaitMs = 11_000;
   while (clock.now() < maxWaitMs) {
     await clock.advance(100);
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -7,9 +7,9 @@
  *
  * A worker that starts again under its id carries out calls that were sent to its former incarnation,
  * also seconds later. The calls of a link therefore belong to sessions. A session ends with the first
- * renewal without a response, after a pause, or once another incarnation is known; the first renewal of the next one
- * carries a higher fencing token, which blocks all earlier calls, and neither extends leases nor confirms
- * ends. Its report is complete: what it does not list can no longer start.
+ * renewal without a response, after a pause, or once another incarnation is known. The first renewal of
+ * the next one carries a higher fencing token, which blocks all earlier calls, and neither extends leases
+ * nor confirms ends. Its report is complete: what it does not list can no longer start.
  */
 import { makeTimeMark } from '../clock/mod.ts';
 import type { Clock } from '../clock/mod.ts';
