--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -18,6 +18,24 @@
 export interface OrderSender {
   start(run: Run): Promise<void>;
   stop(run: Run, reason: string): Promise<void>;
+  /** Returns the numbers of start orders since the last call and resets them. */
+  takeReport(): StartOrderCounts;
+}
+
+/** Numbers of start orders, for the log. */
+export interface StartOrderCounts {
+  /** Orders sent, including repeated ones. */
+  sent: number;
+  /** Orders without a response. */
+  unanswered: number;
+  /** Orders that the worker rejected. */
+  rejected: number;
+  /** Decided starts that were not sent, since their conditions had changed. */
+  notSent: number;
+}
+
+function makeStartOrderCounts(): StartOrderCounts {
+  return { sent: 0, unanswered: 0, rejected: 0, notSent: 0 };
 }
 
 /** Dependencies and callbacks of an {@link OrderSender}. */
@@ -67,6 +85,7 @@
  */
 export function makeOrderSender(options: OrderSenderOptions): OrderSender {
   const { state, workers, clock, log, findLink, hasEnded, onRejected } = options;
+  let counts = makeStartOrderCounts();
 
   function logOrder(event: string, run: Run, fields: Record<string, unknown>): void {
     log.info(event, {
@@ -109,6 +128,7 @@
     const { checkpoint } = step.tasks[index]!;
     run.sentAtMs ??= clock.now();
     run.sends += 1;
+    counts.sent += 1;
     return sendInSession(run.workerId, (fencingToken) =>
       workers.start(worker.entry, {
         task: getTaskName(run),
@@ -160,6 +180,7 @@
 
   /** Gives up a start whose conditions have changed since its decision. */
   async function withdrawStart(run: Run, reason: StartObstacle, mayHaveRun: boolean) {
+    counts.notSent += 1;
     logOrder('start-not-sent', run, { reason, mayHaveRun });
     if (mayHaveRun) await stop(run, `the conditions of the start have changed: ${reason}`);
     else onRejected(run, Rejection.Late);
@@ -186,6 +207,7 @@
       const mayHaveRun = hasAttempted || run.isStartUncertain;
       if (!mayHaveRun && lacksValidTicket(run)) {
         // The ticket expired while the start was being stored.
+        counts.notSent += 1;
         logOrder('start-not-sent', run, { reason: Rejection.Ticket });
         onRejected(run, Rejection.Ticket);
         return;
@@ -210,16 +232,26 @@
         return;
       }
       if (outcome !== Rejection.Unknown) {
+        counts.rejected += 1;
         logOrder('start-rejected', run, { reason: outcome, mayHaveRun });
         if (outcome === Rejection.Fenced) options.onFenced();
         else if (mayHaveRun) await stop(run, 'an earlier start order got no response');
         else if (findHoldingWorker(state, run)) onRejected(run, outcome);
         return;
       }
+      counts.unanswered += 1;
       logOrder('start-unanswered', run, {});
       await clock.sleep(startRetryDelayMs);
     }
   }
 
-  return { start, stop };
+  return {
+    start,
+    stop,
+    takeReport() {
+      const finished = counts;
+      counts = makeStartOrderCounts();
+      return finished;
+    },
+  };
 }
--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -77,6 +77,18 @@
   assert.is(sent, 1);
 });
 
+// Guards against a load line that cannot tell a late process from one whose orders are rejected.
+test('the counts of start orders tell what became of them, and start anew', async () => {
+  const outcomes = [Rejection.Unknown, Rejection.NoRoom];
+  const { run, orders } = makeOrders({
+    start: async () => outcomes.shift(),
+    stop: async () => undefined,
+  });
+  await orders.start(run);
+  assert.equal(orders.takeReport(), { sent: 2, unanswered: 1, rejected: 1, notSent: 0 });
+  assert.equal(orders.takeReport(), { sent: 0, unanswered: 0, rejected: 0, notSent: 0 });
+});
+
 test('a start that was sent is not rejected when its ticket expires before the response', async () => {
   const rejected: Rejection[] = [];
   let sent = 0;
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -10,7 +10,6 @@
 import type { VersionedRows } from '../model/mod.ts';
 import {
   countPendingJobs,
-  computeFleetLoad,
   makeLostRunEnd,
   makeCellState,
   getRefusalReason,
@@ -31,6 +30,7 @@
   applyJobRows,
   restoreJobs,
 } from './_job_rows.ts';
+import { makeLoadReport } from './_load_report.ts';
 import { makeOrderSender, computeOrderTimes } from './_orders.ts';
 import type { OrderSender } from './_orders.ts';
 import { makePassRunner } from './_pass_runner.ts';
@@ -66,7 +66,6 @@
 }
 
 const tickIntervalMs = 100;
-const reportIntervalMs = 1_000;
 const readRetryDelayMs = 100;
 const unhealthyBackoffMs = 1_500;
 const jobsWatchPauseMs = 6;
@@ -200,29 +199,12 @@
     });
   }
 
-  let nextReportAtMs = startedAtMs;
-
-  /** Logs the scheduler's load and how late its tick is. */
-  function logLoad(latenessMs: number): void {
-    const nowMs = clock.now();
-    if (nowMs < nextReportAtMs) return;
-    nextReportAtMs = nowMs + reportIntervalMs;
-    const queued = [...countPendingJobs(state).values()].reduce((total, count) => total + count, 0);
-    log.info('load of the scheduler', {
-      event: 'scheduler-load',
-      jobs: state.activeJobs.size,
-      queued,
-      ...computeFleetLoad(state),
-      ...components.passRunner.takeReport(),
-      latenessMs: Math.round(latenessMs),
-      storeMs: Math.round(term.writer.latencyMs()),
-    });
-  }
+  const loadReport = makeLoadReport({ state, clock, log, ...components });
 
   async function runTicks(): Promise<void> {
     let dueAtMs = clock.now();
     while (!endController.signal.aborted) {
-      logLoad(clock.now() - dueAtMs);
+      loadReport.log(clock.now() - dueAtMs);
       dueAtMs = clock.now() + tickIntervalMs;
       fleet.checkWorkers();
       retention.deleteOldJobs();
