Call the workers of a large fleet through relays

Cause: the scheduler's process pays an HTTP exchange for each start, each end and each advice request, at the same price however late it is, while submissions and rows are batched. Its processor is used up from second 4 on (busyShare 1.00), each stage of a start takes some 0.3 s, and a third of what it does then is for orders that are rejected for their ticket.

Change: requests between two entry processes share one connection, a channel, and all messages of one turn of the event loop are written at once. With 48 workers or more, other entry processes make the scheduler's calls to the workers: one relay for 24 workers, by rendezvous hashing, the largest hosts first. Orders, leases and fencing tokens stay the scheduler's. A relay that does not respond gets no calls until it responds to a ping; what did not reach it is sent directly.

The tests are new for new parts; peer_server_test.ts answers on a channel where it answered over HTTP, with the same checks.

--- a/src/front/server.ts
+++ b/src/front/server.ts
@@ -3,6 +3,7 @@
  */
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 
 import type { FrontEnd } from './front.ts';
 
@@ -55,6 +56,8 @@
   address: string;
   maxBodyBytes(): number;
   handle(request: HttpRequest): Promise<HttpResponse> | HttpResponse;
+  /** Takes over a connection whose request asks for another protocol; without it, none is upgraded. */
+  upgrade?(protocol: string | undefined, socket: Socket, head: Buffer): void;
   onError(error: unknown): void;
 }): Promise<HttpServer> {
   const { address, maxBodyBytes, handle, onError } = options;
@@ -96,6 +99,12 @@
       if (!response.headersSent) writeResponse(response, { status: 500, body: '{}' });
     });
   });
+  const { upgrade } = options;
+  if (upgrade) {
+    server.on('upgrade', ({ headers }: IncomingMessage, socket: Socket, head: Buffer) =>
+      upgrade(headers.upgrade, socket, head),
+    );
+  }
   server.on('connection', (socket) => {
     connectionCount += 1;
     socket.on('close', () => {
--- a/src/host/hand_over.ts
+++ b/src/host/hand_over.ts
@@ -6,7 +6,7 @@
 import type { Member } from '../cell/mod.ts';
 import type { Clock } from '../clock/mod.ts';
 import type { Logger } from '../logs/mod.ts';
-import type { PeerClient } from './peers.ts';
+import type { PeerClient } from './peer_client.ts';
 
 /** Dependencies of the hand-overs. */
 export interface HandOverOptions {
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -5,8 +5,8 @@
 import type { Leadership, Member } from '../cell/mod.ts';
 import type { Clock, Random } from '../clock/mod.ts';
 import { ErrorKind, failWith } from '../errors/mod.ts';
-import { handleClientRequest, listen, makeFrontEnd } from '../front/mod.ts';
-import type { HttpRequest } from '../front/mod.ts';
+import { handleClientRequest, makeFrontEnd } from '../front/mod.ts';
+import type { HttpServer } from '../front/mod.ts';
 import { logFailure } from '../logs/mod.ts';
 import type { Logger } from '../logs/mod.ts';
 import type { Adviser, Store, WorkerClient } from '../model/mod.ts';
@@ -15,13 +15,11 @@
   decodeConfiguration,
   decodeJob,
   decodeWorker,
-  defaultMaxBodyBytes,
   encodePending,
   encodeState,
   parseEvacuatedDataCentre,
   isJobId,
   operatorTable,
-  readinessPath,
   registryTable,
 } from '../../platform/mod.ts';
 import type { ProcessSettings } from '../../platform/mod.ts';
@@ -36,11 +34,15 @@
 import { makeMembership } from './membership.ts';
 import { makeOwnMember } from './own_member.ts';
 import { makePeerGroup } from './peer_group.ts';
-import { choosePortOffset, makePeerClient, servePeers } from './peers.ts';
+import { choosePortOffset } from './_peer_address.ts';
+import { makePeerClient } from './peer_client.ts';
 import { makeSchedulerHints } from './scheduler_hints.ts';
 import { makeSchedulerMonitor } from './scheduler_monitor.ts';
 import { runForever } from './run_forever.ts';
+import { startServers } from './_servers.ts';
 import { makeTermHolder } from './term_holder.ts';
+import { makeWorkerCall } from './_worker_calls.ts';
+import { makeWorkerRelays } from './worker_relays.ts';
 import { makeOperatorStateSource } from './operator_state.ts';
 
 /** Settings and dependencies of an entry process. */
@@ -67,7 +69,6 @@
   kill(): void;
 }
 
-const readinessMaxBodyBytes = 1_024;
 const configurationAgeMarginMs = 350;
 const drainDelayMs = 2_300;
 const drainPollMs = 50;
@@ -83,7 +84,7 @@
  * await host.start();
  */
 export function makeHost(options: HostOptions): Host {
-  const { settings, clock, random, logs, workers, adviser } = options;
+  const { settings, clock, random, logs, adviser } = options;
   const storeHealth = makeHostStore(options.store, settings.maxRowBytes);
   const { store } = storeHealth;
   const shutdown = new AbortController();
@@ -91,7 +92,7 @@
   const { initial: self } = ownMember;
   const peerPorts = Math.min(settings.peerPorts, maxPeerPorts);
   const peers = makePeerClient(clock, { portOffset: choosePortOffset(self.name, peerPorts) });
-  let servers: Awaited<ReturnType<typeof listen>>[] = [];
+  let servers: HttpServer[] = [];
   // Set below: the election depends on the parts that read the claim from here.
   const election: { leadership?: Leadership; candidacy?: Candidacy } = {};
   const membership = makeMembership({
@@ -127,6 +128,14 @@
     (() => Promise.resolve(failWith(ErrorKind.PeerUnavailable, 'no advice service is set')));
   const advicePool = makeHostAdvicePool({ clock, self, membership, peers, advise });
 
+  const workers = makeWorkerRelays({
+    clock,
+    log: logs.cell,
+    peers,
+    direct: options.workers,
+    otherMembers: () => membership.members().filter(({ name }) => name !== self.name),
+    signal: shutdown.signal,
+  });
   const termHolder = makeTermHolder({
     log: logs.cell,
     makeTerm: (won, onEnded) =>
@@ -214,12 +223,6 @@
     encodePending,
   });
 
-  function handleReadiness({ path }: HttpRequest) {
-    const isReady = !isDraining && getRoutes() !== undefined;
-    if (path !== readinessPath) return { status: 404, body: '{}' };
-    return { status: isReady ? 200 : 503, body: '{}' };
-  }
-
   const onError = logFailure(logs.host, 'a request or a background loop');
   const runHandOvers = makeHandOvers({
     clock,
@@ -247,33 +250,23 @@
     resign,
 
     async start() {
-      const [callers, readiness, peerServers] = await Promise.all([
-        listen({
-          address: settings.listen.callers,
-          maxBodyBytes: () =>
-            operatorState.current()?.configuration.maxBodyBytes ?? defaultMaxBodyBytes,
-          handle: options.timeRequests((request) => handleClientRequest(frontEnd, request)),
-          onError,
-        }),
-        listen({
-          address: settings.listen.readiness,
-          maxBodyBytes: () => readinessMaxBodyBytes,
-          handle: handleReadiness,
-          onError,
-        }),
-        servePeers(
-          { address: self.address, ports: peerPorts },
-          {
-            instance: () => (isDraining ? '' : self.instance),
-            advise,
-            relay: frontEnd.handle,
-            operatorState: operatorState.toMessage,
-            scheduler: termHolder.service,
-          },
-          onError,
-        ),
-      ]);
-      servers = [callers, readiness, ...peerServers];
+      servers = await startServers({
+        settings,
+        peerPorts,
+        log: logs.host,
+        onError,
+        maxCallerBodyBytes: () => operatorState.current()?.configuration.maxBodyBytes,
+        handleCaller: options.timeRequests((request) => handleClientRequest(frontEnd, request)),
+        isReady: () => !isDraining && getRoutes() !== undefined,
+        peerService: {
+          instance: () => (isDraining ? '' : self.instance),
+          advise,
+          relay: frontEnd.handle,
+          callWorker: (call) => makeWorkerCall(options.workers, call),
+          operatorState: operatorState.toMessage,
+          scheduler: termHolder.service,
+        },
+      });
       logs.host.info('started', { event: 'start', ...self });
       const { run: monitor } = schedulerMonitor;
       const loops = [operatorState.run, membership.run, leadership.run, monitor, runHandOvers];
--- a/src/host/host_advice_pool.ts
+++ b/src/host/host_advice_pool.ts
@@ -9,7 +9,7 @@
 import { makeFailure, ErrorKind } from '../errors/mod.ts';
 import type { Adviser } from '../model/mod.ts';
 import type { Membership } from './membership.ts';
-import type { PeerClient } from './peers.ts';
+import type { PeerClient } from './peer_client.ts';
 
 /**
  * Makes the pool; `advise` sends the requests of this process.
--- a/src/host/host_test.ts
+++ b/src/host/host_test.ts
@@ -99,6 +99,19 @@
     assert.is(cluster.starts().length, 2);
   }));
 
+test('the jobs of a large fleet are completed though the relay of its workers is killed', () =>
+  withCluster({ hosts: 3, workers: 48 }, async (cluster) => {
+    const path = `/batch/${makeJobId()}`;
+    await cluster.send('POST', path, { body: makeJob(96, { ms: 400 }) });
+    await cluster.waitForState(path, 'in_progress');
+    const claim = cluster.standin.store.get('leadership', 'c0', 'claim')!;
+    const { name } = JSON.parse(claim) as { name: string };
+    const relay = cluster.hosts.findIndex((_, index) => name !== `entry-${index + 1}`);
+    cluster.hosts[relay]!.kill();
+    await waitForCompletion(cluster, path, Number(name.split('-')[1]) - 1);
+    assertSingleRuns(cluster);
+  }));
+
 test('a cancelled job is stopped at its workers and shown as cancelled', () =>
   withCluster({ hosts: 1, workers: 1 }, async (cluster) => {
     const path = `/batch/${makeJobId()}`;
--- a/src/host/peer_group.ts
+++ b/src/host/peer_group.ts
@@ -7,7 +7,7 @@
 import { ErrorKind, failWith } from '../errors/mod.ts';
 import type { Failure, Outcome } from '../errors/mod.ts';
 import type { ClientRequest, ClientResponse } from '../front/mod.ts';
-import type { PeerClient } from './peers.ts';
+import type { PeerClient } from './peer_client.ts';
 import type { OperatorStateMessage } from './operator_state.ts';
 
 /** The other entry processes. */
--- a/src/host/peer_group_test.ts
+++ b/src/host/peer_group_test.ts
@@ -6,7 +6,7 @@
 import { makeFailure, ErrorKind } from '../errors/mod.ts';
 import type { ClientRequest } from '../front/mod.ts';
 import { makePeerGroup } from './peer_group.ts';
-import type { PeerClient } from './peers.ts';
+import type { PeerClient } from './peer_client.ts';
 
 const test = suite('peer group');
 
--- a/src/host/peers_test.ts
+++ b/src/host/peer_server_test.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -7,17 +7,23 @@
 import { systemClock } from '../clock/mod.ts';
 import { ErrorKind } from '../errors/mod.ts';
 import { makeConnectionPool } from '../exchange/mod.ts';
-import { makePeerClient, servePeers } from './peers.ts';
-import type { PeerService } from './peers.ts';
+import { makeChannelServer } from '../channel/mod.ts';
+import { silentLogger } from '../logs/mod.ts';
+import { makePeerClient } from './peer_client.ts';
+import { servePeers } from './peer_server.ts';
+import type { PeerService } from './peer_server.ts';
 
 const test = suite('requests between entry processes');
 
 /** Submits jobs to a process that responds with the status, and returns the kind of the failure. */
 async function submitAndGetErrorKind(status: number): Promise<ErrorKind | undefined> {
-  const server = createServer((_request, response) => {
-    response.writeHead(status, { connection: 'close' });
-    response.end('{}');
+  const channels = makeChannelServer({
+    handle: async () => ({ status, body: {} }),
+    onError: () => undefined,
+    onConnectionFailed: () => undefined,
   });
+  const server = createServer();
+  server.on('upgrade', (_request, socket, head) => channels.accept(socket as Socket, head));
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
@@ -26,6 +32,7 @@
     `127.0.0.1:${port}`,
     [],
   );
+  channels.close();
   server.close();
   return result.swap().toMaybe().extract()?.kind;
 }
@@ -53,9 +60,8 @@
   const address = `127.0.0.1:${await findFreePort()}`;
   const errors: unknown[] = [];
   const servers = await servePeers(
-    { address, ports: 1 },
     { instance: () => 'a-1', scheduler: () => undefined } as Partial<PeerService> as PeerService,
-    (error) => errors.push(error),
+    { address, ports: 1, log: silentLogger, onError: (error) => errors.push(error) },
   );
   const [ip = '', port] = address.split(':');
   const pool = makeConnectionPool({ address: ip, port: Number(port), clock: systemClock });
@@ -65,7 +71,9 @@
   };
   const malformed = ['{', 'null', '{}', '[null]', '[5]', '[{"id":"a"}]'];
   const statuses = await Promise.all(
-    ['/submit', '/states', '/cancel'].flatMap((path) => malformed.map((body) => send(path, body))),
+    ['/submit', '/states', '/cancel', '/worker'].flatMap((path) =>
+      malformed.map((body) => send(path, body)),
+    ),
   );
   assert.ok(
     statuses.every((status) => status === 400),
--- a/src/host/scheduler_client.ts
+++ b/src/host/scheduler_client.ts
@@ -17,7 +17,7 @@
 import type { AcceptedJob, JobState } from '../model/mod.ts';
 import { makeBatcher } from '../batches/mod.ts';
 import type { Batcher, BatchOptions } from '../batches/mod.ts';
-import type { PeerClient } from './peers.ts';
+import type { PeerClient } from './peer_client.ts';
 
 /** Dependencies of the client. */
 export interface SchedulerClientOptions {
--- a/src/host/scheduler_monitor.ts
+++ b/src/host/scheduler_monitor.ts
@@ -9,7 +9,7 @@
 import type { Clock } from '../clock/mod.ts';
 import type { Logger } from '../logs/mod.ts';
 import { logFailure } from '../logs/mod.ts';
-import type { PeerClient, PingResult } from './peers.ts';
+import type { PeerClient, PingResult } from './peer_client.ts';
 
 /** Monitors the scheduler. */
 export interface SchedulerMonitor {
--- a/src/host/scheduler_monitor_test.ts
+++ b/src/host/scheduler_monitor_test.ts
@@ -3,7 +3,7 @@
 
 import { makeVirtualClock } from '../clock/mod.ts';
 import { silentLogger } from '../logs/mod.ts';
-import type { PingResult } from './peers.ts';
+import type { PingResult } from './peer_client.ts';
 import { makeSchedulerMonitor } from './scheduler_monitor.ts';
 
 const test = suite('scheduler monitor');
--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -103,18 +103,33 @@
 /** The result of an order: undefined if the worker carried it out. */
 export type OrderResult = Rejection | undefined;
 
+/** What names a worker in a request to it. */
+export type WorkerAddress = Pick<WorkerEntry, 'id' | 'address'>;
+
+/** An order to stop a run. */
+export interface StopOrder {
+  task: string;
+  attempt: number;
+  fencingToken: number;
+}
+
+/** A request to extend the leases on a worker and to return its report. */
+export interface LeaseRenewal {
+  fencingToken: number;
+  /** Highest sequence of the ends that are confirmed. */
+  lastSeen: number;
+  /** Lease expiry on the worker's clock; leases are not extended without it. */
+  leaseUntilMs?: number;
+  /** Time for which the worker may wait for an end before it responds. */
+  waitMs: number;
+}
+
 /** Sends requests to workers. */
 export interface WorkerClient {
-  start(worker: WorkerEntry, order: StartOrder): Promise<OrderResult>;
-  stop(
-    worker: WorkerEntry,
-    order: { task: string; attempt: number; fencingToken: number },
-  ): Promise<OrderResult>;
+  start(worker: WorkerAddress, order: StartOrder): Promise<OrderResult>;
+  stop(worker: WorkerAddress, order: StopOrder): Promise<OrderResult>;
   /** Extends the lease of all runs on the worker and returns its running and ended runs. */
-  renewLease(
-    worker: WorkerEntry,
-    request: { fencingToken: number; lastSeen: number; leaseUntilMs?: number; waitMs: number },
-  ): Promise<WorkerReport | Rejection>;
+  renewLease(worker: WorkerAddress, renewal: LeaseRenewal): Promise<WorkerReport | Rejection>;
   /** Closes the connections to a worker that has left the registry. */
-  disconnect(worker: WorkerEntry): void;
+  disconnect(worker: WorkerAddress): void;
 }
