Count the time of a ticket from its grant, not from the late handling of its response

The scheduler counted a ticket's time from the moment at which it handled the response, which on a late process is up to a second after the grant. The service grants nothing before the expected duration of a request has passed, so that sending time plus this duration is a safe start.

Same class, looked for: the clock of a worker's link and the time of the last commit are counted safely; a watch response that is up to 0.5 s late counts as current (table_watcher.ts, suspected, not changed).

--- a/src/cell/_pass_runner.ts
+++ b/src/cell/_pass_runner.ts
@@ -4,7 +4,13 @@
  */
 import { logFailure } from '../logs/mod.ts';
 import type { GrantedTickets } from '../model/mod.ts';
-import { decideStarts, getStepName, applyAdvice, computeWaitTimes } from '../scheduler/mod.ts';
+import {
+  applyAdvice,
+  computeTicketEnd,
+  computeWaitTimes,
+  decideStarts,
+  getStepName,
+} from '../scheduler/mod.ts';
 import type { PendingAdviceRequest, HoldReason, Job, Run } from '../scheduler/mod.ts';
 import type { OrderSender } from './_orders.ts';
 import type { AdviceSlot } from './advice_pool.ts';
@@ -73,7 +79,9 @@
     const nowMs = clock.now();
     const { step, terms, slot } = request;
     const validityMs = granted?.validityMs || terms.advice!.validityMs;
-    applyAdvice(state, request, granted?.tickets, { validUntilMs: nowMs + validityMs, nowMs });
+    const { expectedMs } = slot;
+    const validUntilMs = computeTicketEnd({ requestedAtMs, expectedMs, nowMs, validityMs });
+    applyAdvice(state, request, granted?.tickets, { validUntilMs, nowMs });
     log.info('advice', {
       event: 'advice',
       id: step.job.accepted.id,
--- a/src/scheduler/tickets.ts
+++ b/src/scheduler/tickets.ts
@@ -109,6 +109,29 @@
   return chosen;
 }
 
+/**
+ * Computes until when the tickets of a response are certainly valid. Their time runs from the grant, which
+ * the service does not make before the expected duration of the request has passed; the response may
+ * be handled much later.
+ *
+ * @example
+ * computeTicketEnd({ requestedAtMs: 0, expectedMs: 20, nowMs: 900, validityMs: 2_000 }); // 2_020
+ */
+export function computeTicketEnd({
+  requestedAtMs,
+  expectedMs,
+  nowMs,
+  validityMs,
+}: {
+  requestedAtMs: number;
+  expectedMs: number;
+  /** Time at which the response is handled. */
+  nowMs: number;
+  validityMs: number;
+}): number {
+  return Math.min(nowMs, requestedAtMs + expectedMs) + validityMs;
+}
+
 function updateAllowedFraction(state: CellState, queue: string, fraction: number): void {
   const previous = getAllowedFraction(state, queue);
   state.allowedFractions.set(queue, previous + (fraction - previous) * allowedFractionWeight);
