--- a/src/channel/channel_client.ts
+++ b/src/channel/channel_client.ts
@@ -21,7 +21,8 @@
   cancelTimer(): void;
 }
 
-const connectTimeoutMs = 800;
+/** Covers the wait for a busy process to accept the connection, unlike a timeout of TCP alone. */
+const connectTimeoutMs = 1_500;
 /** A peer that reads so slowly that this much waits for it gets no further messages. */
 const maxBufferedBytes = 8 * 1024 * 1024;
 
--- a/src/host/peer_client.ts
+++ b/src/host/peer_client.ts
@@ -37,7 +37,11 @@
   relay(address: string, request: ClientRequest): Outcome<ClientResponse>;
   fetchOperatorState(address: string): Outcome<OperatorStateMessage>;
   /** Makes a call to a worker with the connections of the other process. */
-  callWorker(address: string, call: WorkerCall, timeoutMs: number): Outcome<WorkerCallResult>;
+  callWorker(
+    address: string,
+    call: WorkerCall,
+    timeoutMs: number,
+  ): Outcome<Partial<WorkerCallResult>>;
   /** Submits jobs to the scheduler; here and below, results are in the order of the argument. */
   submit(address: string, jobs: AcceptedJob[]): Outcome<SubmitResult[]>;
   /** Gets the stored states of jobs from the scheduler. */
--- a/src/host/peer_server.ts
+++ b/src/host/peer_server.ts
@@ -97,10 +97,12 @@
       const message = service.operatorState();
       return message ? { status: 200, body: message } : { status: 503, body: {} };
     },
-    '/worker': async (body) =>
-      isWorkerCall(body)
-        ? { status: 200, body: await service.callWorker(body) }
-        : rejectMalformed('a call to a worker'),
+    '/worker': async (body) => {
+      if (!isWorkerCall(body)) return rejectMalformed('a call to a worker');
+      // A process that is stopping would end before it could pass on the response.
+      if (service.instance() === '') return { status: 503, body: {} };
+      return { status: 200, body: await service.callWorker(body) };
+    },
     '/relay': async (body) => ({ status: 200, body: await service.relay(body as ClientRequest) }),
     '/advise': async (body) => {
       const tickets = await service.advise(body as AdviceRequest);
--- a/src/host/peer_server_test.ts
+++ b/src/host/peer_server_test.ts
@@ -87,4 +87,27 @@
   servers.forEach((server) => server.close());
 });
 
+test('a process that is stopping makes no calls to workers for others', async () => {
+  const address = `127.0.0.1:${await findFreePort()}`;
+  const service: Partial<PeerService> = {
+    instance: () => '',
+    callWorker: () => Promise.reject(new Error('called')),
+  };
+  const errors: unknown[] = [];
+  const servers = await servePeers(service as PeerService, {
+    address,
+    ports: 1,
+    log: silentLogger,
+    onError: (error) => errors.push(error),
+  });
+  const result = await makePeerClient(systemClock, { portOffset: 0 }).callWorker(
+    address,
+    { worker: { id: 'i-1', address: '127.0.0.1:1' }, disconnect: true },
+    1_000,
+  );
+  assert.is(result.swap().toMaybe().extract()?.kind, ErrorKind.PeerUnavailable, 'nothing was sent');
+  assert.equal(errors, []);
+  servers.forEach((server) => server.close());
+});
+
 test.run();
--- a/src/host/worker_relays.ts
+++ b/src/host/worker_relays.ts
@@ -95,10 +95,6 @@
     failedRelays.delete(relay.name);
   }
 
-  function recordOutcome(worker: WorkerAddress, { result }: WorkerCallResult): void {
-    if (result === Rejection.Unknown) directUntilMs.set(worker.id, clock.now() + directCallsMs);
-  }
-
   /** Makes a call, through a relay if the worker has one. */
   async function call(request: WorkerCall, timeoutMs: number): Promise<WorkerCallResult> {
     const { worker } = request;
@@ -115,9 +111,11 @@
           ? makeWorkerCall(direct, request)
           : { result: Rejection.Unknown };
       },
-      Right: (outcome) => {
-        recordOutcome(worker, outcome);
-        return outcome;
+      Right: ({ result = Rejection.Unknown }) => {
+        if (result === Rejection.Unknown) {
+          directUntilMs.set(worker.id, clock.now() + directCallsMs);
+        }
+        return { result };
       },
     });
   }
--- a/src/host/worker_relays_test.ts
+++ b/src/host/worker_relays_test.ts
@@ -151,6 +151,13 @@
   assert.ok(countBy(calls, relay!) > 0);
 });
 
+test('a response without a result does not count as an order that was carried out', async () => {
+  const { startAll, startOne } = setUp(async () => Right({}));
+  const outcomes = await startAll();
+  assert.ok(outcomes.every((outcome) => outcome === Rejection.Unknown));
+  assert.is(await startOne(), undefined, 'the worker is called directly now');
+});
+
 // Guards against a worker that is unreachable for its relay only, and would count as lost.
 test('a worker that does not respond to its relay is called directly for a while', async () => {
   const { calls, state, startAll, startOne } = setUp(async () =>
