--- a/src/host/host_test.ts
+++ b/src/host/host_test.ts
@@ -32,11 +32,15 @@
   }
 }
 
-/** Kills the scheduler, one of two processes; returns the index of the other. */
-function killScheduler({ standin, hosts }: TestCluster): number {
+function getSchedulerIndex({ standin, hosts }: TestCluster): number {
   const claim = JSON.parse(standin.store.get('leadership', 'c0', 'claim')!) as { name: string };
-  const scheduler = claim.name === 'entry-1' ? 0 : 1;
-  hosts[scheduler]!.kill();
+  return hosts.findIndex((_, index) => claim.name === `entry-${index + 1}`);
+}
+
+/** Kills the scheduler, one of two processes; returns the index of the other. */
+function killScheduler(cluster: TestCluster): number {
+  const scheduler = getSchedulerIndex(cluster);
+  cluster.hosts[scheduler]!.kill();
   return 1 - scheduler;
 }
 
@@ -99,16 +103,33 @@
     assert.is(cluster.starts().length, 2);
   }));
 
+// Guards against a scheduler whose processor is used up by one HTTP exchange for each start and end.
+test('the scheduler of a large fleet sends none of its start orders with its own connections', () =>
+  withCluster({ hosts: 3, workers: 48 }, async (cluster) => {
+    const scheduler = getSchedulerIndex(cluster);
+    const runJob = async (tasks: number) => {
+      const path = `/batch/${makeJobId()}`;
+      await cluster.send('POST', path, { body: makeJob(tasks) });
+      await cluster.waitForState(path, 'completed');
+    };
+    let before: number;
+    do {
+      before = cluster.sentStarts()[scheduler]!;
+      await runJob(1);
+    } while (cluster.sentStarts()[scheduler]! > before && cluster.starts().length < 400);
+    await runJob(96);
+    assert.is(cluster.sentStarts()[scheduler], before);
+  }));
+
 test('the jobs of a large fleet are completed though the relay of its workers is killed', () =>
   withCluster({ hosts: 3, workers: 48 }, async (cluster) => {
     const path = `/batch/${makeJobId()}`;
     await cluster.send('POST', path, { body: makeJob(96, { ms: 400 }) });
     await cluster.waitForState(path, 'in_progress');
-    const claim = cluster.standin.store.get('leadership', 'c0', 'claim')!;
-    const { name } = JSON.parse(claim) as { name: string };
-    const relay = cluster.hosts.findIndex((_, index) => name !== `entry-${index + 1}`);
+    const scheduler = getSchedulerIndex(cluster);
+    const relay = cluster.hosts.findIndex((_, index) => index !== scheduler);
     cluster.hosts[relay]!.kill();
-    await waitForCompletion(cluster, path, Number(name.split('-')[1]) - 1);
+    await waitForCompletion(cluster, path, scheduler);
     assertSingleRuns(cluster);
   }));
 
--- a/src/testing/site.ts
+++ b/src/testing/site.ts
@@ -13,6 +13,7 @@
 import { makeHost } from '../host/mod.ts';
 import type { Host } from '../host/mod.ts';
 import { silentLogger } from '../logs/mod.ts';
+import type { WorkerClient } from '../model/mod.ts';
 
 /** A response to the client. */
 export interface TestResponse {
@@ -37,6 +38,8 @@
   waitForPendingCount(path: string): Promise<number>;
   /** The starts that all workers have recorded. */
   starts(): RecordedStart[];
+  /** The number of start orders that each entry process has sent with its own connections. */
+  sentStarts(): number[];
   close(): Promise<void>;
 }
 
@@ -81,6 +84,18 @@
   standin.writeConfiguration(1);
   standin.registerWorkers();
   const hosts: Host[] = [];
+  const sentStarts: number[] = [];
+  function makeCountedClient(index: number): WorkerClient {
+    const client = makeWorkerClient(systemClock);
+    sentStarts[index] = 0;
+    return {
+      ...client,
+      start(...order) {
+        sentStarts[index]! += 1;
+        return client.start(...order);
+      },
+    };
+  }
   const addresses: { callers: string; readiness: string }[] = [];
   for (let index = 0; index < options.hosts; index++) {
     const [callers, readiness, peers] = [
@@ -96,7 +111,7 @@
       timeRequests: (handle) => handle,
       logs: { host: silentLogger, front: silentLogger, cell: silentLogger },
       store: makeStore(settings.storeAddress, systemClock),
-      workers: makeWorkerClient(systemClock),
+      workers: makeCountedClient(index),
       adviser: makeAdviser(settings.adviceAddress!, systemClock),
     });
     await host.start();
@@ -144,6 +159,7 @@
       }),
     waitForPendingCount: (path) =>
       waitFor(`a pending count of ${path}`, async () => (await send('GET', path)).body.pending),
+    sentStarts: () => [...sentStarts],
     starts: () => standin.workers.flatMap((worker) => worker.starts),
     async close() {
       await Promise.all(hosts.map((host) => host.kill()));
