Fail requests to a malformed address, and close channels that the client has closed

Found by reading the channels. A malformed address in a member's row threw where a start order expects an outcome, so that the order would never have had one. The connections of an HTTP server stay half open when the client closes them, so that each replaced channel would have kept a socket at the other process. Both new tests fail without the change (the second one never ends).

--- a/src/channel/channel_client.ts
+++ b/src/channel/channel_client.ts
@@ -100,9 +100,13 @@
     send([...pending.values()]);
   }
 
-  function connect(): void {
+  function handleConnectFailure(error: Error): void {
+    isConnecting = false;
+    failAll(error);
+  }
+
+  function sendUpgrade(): void {
     const [host, port] = address.split(':');
-    isConnecting = true;
     const upgrade = sendHttpRequest({
       host,
       port,
@@ -119,12 +123,21 @@
     upgrade.on('response', () => upgrade.destroy(new Error('the address serves no channels')));
     upgrade.on('error', (error) => {
       cancelTimer();
-      isConnecting = false;
-      failAll(error);
+      handleConnectFailure(error);
     });
     upgrade.end();
   }
 
+  function connect(): void {
+    isConnecting = true;
+    try {
+      sendUpgrade();
+    } catch (error) {
+      // No connection can be made to such an address.
+      handleConnectFailure(error as Error);
+    }
+  }
+
   function expire(entry: PendingRequest, timeoutMs: number): void {
     if (!pending.has(entry.message[0])) return;
     const { sentAtMs } = entry;
--- a/src/channel/channel_server.ts
+++ b/src/channel/channel_server.ts
@@ -65,6 +65,8 @@
       sockets.add(socket);
       socket.setNoDelay(true);
       socket.on('error', onConnectionFailed);
+      // The connections of an HTTP server stay half open otherwise.
+      socket.on('end', () => socket.destroy());
       socket.on('close', () => sockets.delete(socket));
       socket.write(
         `HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: ${channelProtocol}\r\n\r\n`,
--- a/src/channel/channel_test.ts
+++ b/src/channel/channel_test.ts
@@ -151,6 +151,29 @@
   });
 });
 
+// Guards against a member row with a malformed address, which would leave a start order without an outcome.
+test('requests to a malformed address fail, and were certainly not sent', async () => {
+  for (const address of ['nowhere', '10.0.0.1:x', '10.0.0.1:99999']) {
+    const client = makeChannelClient(address, { clock: systemClock });
+    const result = await post(client, '/a', {}, 300);
+    assert.is((result as NoResponse).unsent, true, address);
+  }
+});
+
+test('a connection that the client closes does not stay open at the server', () =>
+  withChannel(
+    async () => ({ status: 200, body: {} }),
+    async ({ client, sockets }) => {
+      await post(client, '/a');
+      const closing = new Promise((resolve) => {
+        sockets[0]!.on('close', resolve);
+      });
+      client.close();
+      await closing;
+      assert.ok(sockets[0]!.destroyed);
+    },
+  ));
+
 test('a malformed message ends the channel and not the process', () =>
   withChannel(
     async () => ({ status: 200, body: {} }),
