--- a/src/host/peer_client.ts
+++ b/src/host/peer_client.ts
@@ -54,7 +54,7 @@
 const serverErrorStatus = 500;
 const unavailableStatus = 503;
 /** Each connection has to be accepted by a new scheduler, which takes one at a time. */
-const connectionsPerPeer = 2;
+const connectionsPerPeer = 6;
 const relayTimeoutMs = 1_300;
 const operatorStateTimeoutMs = 500;
 const schedulerTimeoutMs = 1_600;
--- a/src/host/peer_server_test.ts
+++ b/src/host/peer_server_test.ts
@@ -9,6 +9,7 @@
 import { makeConnectionPool } from '../exchange/mod.ts';
 import { makeChannelServer } from '../channel/mod.ts';
 import { silentLogger } from '../logs/mod.ts';
+import { findFreePort } from '../testing/free_port.ts';
 import { makePeerClient } from './peer_client.ts';
 import { servePeers } from './peer_server.ts';
 import type { PeerService } from './peer_server.ts';
@@ -43,19 +44,6 @@
   assert.is(await submitAndGetErrorKind(413), ErrorKind.PeerUnavailable);
 });
 
-/** Returns a port on which nothing listens. */
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
 test('a malformed request between processes is refused and reported, and the next one is served', async () => {
   const address = `127.0.0.1:${await findFreePort()}`;
   const errors: unknown[] = [];
--- a/src/testing/site.ts
+++ b/src/testing/site.ts
@@ -1,9 +1,6 @@
 /**
  * A cluster for tests: entry processes against stand-ins of the platform, and a client.
  */
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
-
 import { request } from 'undici';
 
 import { startClusterStandin } from '../../platform/standin/mod.ts';
@@ -14,6 +11,7 @@
 import type { Host } from '../host/mod.ts';
 import { silentLogger } from '../logs/mod.ts';
 import type { WorkerClient } from '../model/mod.ts';
+import { findFreePort } from './free_port.ts';
 
 /** A response to the client. */
 export interface TestResponse {
@@ -47,18 +45,6 @@
 const readinessPollIntervalMs = 20;
 const waitTimeoutMs = 20_000;
 
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => {
-    server.close(resolve);
-  });
-  return port;
-}
-
 async function waitFor<T>(condition: string, check: () => Promise<T | undefined>): Promise<T> {
   const deadlineMs = performance.now() + waitTimeoutMs;
   while (performance.now() < deadlineMs) {
