--- a/src/clock/clock.ts
+++ b/src/clock/clock.ts
@@ -1,6 +1,7 @@
 /**
  * The clock interface, and its implementation with the system clock.
  */
+
 /** A source of time. */
 export interface Clock {
   /** Monotonic time in milliseconds. */
