Read the clock in the response to an order, which shows a new incarnation

Cause: the renewal in flight when a worker's host goes dark hangs for up to 2.7 s. Until it times out the session counts as alive, and the worker, back after 0.6 s, carries out start orders of that session: it has seen no fencing token. Their lease end is a time on the clock of the former incarnation, far ahead, so it grants its longest lease (6 s), while the scheduler counts the lease that it asked for (4.7 s with drift and margin). If the worker is cut off before it reports, the run is given up and started elsewhere 0.5 s and more before it ends.

Ruled out: a report of the new incarnation (its session would have a higher token, and the longest lease would be counted from it); a late order (`late false`); a second scheduler (both runs have one starter and epoch).

Change: each response to an order has the worker's clock. If it shows less than the clock of the session's incarnation can show by then, the longest lease is counted from that moment, the session ends, and the next renewal opens one with a higher token at once. The response counts as none: the first list of the new session tells whether the run exists. Until that list, runs that may exist in the new incarnation wait as long as those of an incarnation that only the registry has shown. A response that arrives after the end of its session counts as none, too. A start that cannot be sent, as there is no session, no longer counts as sent without a response. Ended sessions and lost workers are logged with the reason and the number of starts without a response.

--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -15,7 +15,7 @@
   findStalledRuns,
   getJobId,
 } from '../scheduler/mod.ts';
-import type { Worker } from '../scheduler/mod.ts';
+import type { Run, Worker } from '../scheduler/mod.ts';
 import { makeFencingTokens } from './_fencing_tokens.ts';
 import { chooseLeaseMs, mayRenewLeases } from './_leases.ts';
 import type { RunEndHandler } from './_run_end_handler.ts';
@@ -135,10 +135,11 @@
       isBusy: () => worker.runs.size > 0,
       mayRenew: () => mayRenewLeases(getTimeSinceCommitMs()),
       onReport: (report, sentAtMs) => handleReport(worker, report, sentAtMs),
-      onSessionEnded(nextToken) {
+      onSessionEnded(nextToken, reason) {
         worker.isSynced = false;
         log.info('the session with a worker has ended', {
           event: 'worker-session-ended',
+          reason,
           worker: id,
           born: worker.incarnationStartMs,
           registered: worker.entry.incarnationStartMs,
@@ -154,6 +155,7 @@
       onFenced: () => term.end('a worker has seen a higher fencing token'),
       onError: logFailure(log, 'the report of a worker'),
     });
+    link.recordRegisteredIncarnation(worker.entry.incarnationStartMs);
     links.set(id, { link, controller });
     link.run(controller.signal).catch(logFailure(log, 'a worker link'));
   }
@@ -196,21 +198,27 @@
     }
   }
 
+  /** Returns when a run on an unresponsive worker has ended, whatever incarnation carried out its start. */
+  function getExpiryMs(run: Run, link: WorkerLink): number {
+    if (mayStartInIncarnation(run, link.newestIncarnationMs())) return link.lateStartsExpireAtMs();
+    return link.leasesExpireAtMs();
+  }
+
   function handleExpiredLeases(worker: Worker, nowMs: number): void {
     if (worker.isResponsive) return;
     const { id } = worker.entry;
     const link = links.get(id)?.link;
     const leasesExpireAtMs = link?.leasesExpireAtMs() ?? term.predecessorLeasesEndAtMs;
     if (nowMs < leasesExpireAtMs) return;
-    const lateStartsExpireAtMs = link?.lateStartsExpireAtMs() ?? leasesExpireAtMs;
-    const lost = listLostRunEnds(
-      worker,
-      (run) =>
-        nowMs >= lateStartsExpireAtMs ||
-        !mayStartInIncarnation(run, worker.entry.incarnationStartMs),
-    );
+    const lost = listLostRunEnds(worker, (run) => !link || nowMs >= getExpiryMs(run, link));
     if (lost.length > 0) {
-      log.warn('worker lost', { event: 'worker-lost', worker: id, runs: lost.length });
+      log.warn('worker lost', {
+        event: 'worker-lost',
+        worker: id,
+        runs: lost.length,
+        uncertainStarts: lost.filter(({ run }) => run.isStartUncertain).length,
+        sinceReportMs: Math.round(nowMs - worker.reportedAtMs),
+      });
       endHandler.applyEnds(lost, 'lease expired');
       term.schedulePass();
     }
--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -105,24 +105,32 @@
   }
 
   /**
-   * Sends an order with the fencing token of the current session. If the session ends meanwhile, a
-   * rejection by its token does not mean that there is another scheduler: the order is sent again.
+   * Sends an order with the fencing token of the current session. A response of another session or
+   * incarnation counts as none: it is no longer known what the worker runs, and a rejection by the token
+   * does not mean that there is another scheduler. The order is sent again.
    */
   async function sendInSession(
     workerId: string,
     send: (fencingToken: number) => Promise<OrderResult>,
-  ): Promise<OrderResult> {
-    const fencingToken = findLink(workerId)?.fencingToken();
-    if (fencingToken === undefined) return Rejection.Unknown;
-    const outcome = await send(fencingToken);
-    const isCurrent = findLink(workerId)?.fencingToken() === fencingToken;
-    return outcome === Rejection.Fenced && !isCurrent ? Rejection.Unknown : outcome;
+  ): Promise<Rejection | undefined> {
+    const session = findLink(workerId)?.openOrder();
+    if (!session) return Rejection.Unknown;
+    const { rejection, clockMs } = await send(session.fencingToken);
+    const isConfirmed = findLink(workerId)?.confirmResponse(session, clockMs);
+    return isConfirmed ? rejection : Rejection.Unknown;
   }
 
-  async function sendStart(run: Run, worker: Worker): Promise<OrderResult> {
-    const leaseUntilMs = findLink(run.workerId)?.leaseUntilMs();
+  /** Returns the lease end for a start order that is sent now; undefined if none may be sent. */
+  function findLeaseEnd({ workerId }: Run, { isSynced }: Worker): number | undefined {
     // Until the list of runs is complete, a report could not tell a run that starts from a lost one.
-    if (leaseUntilMs === undefined || !worker.isSynced) return Rejection.Unknown;
+    return isSynced ? findLink(workerId)?.leaseUntilMs() : undefined;
+  }
+
+  function sendStart(
+    run: Run,
+    worker: Worker,
+    leaseUntilMs: number,
+  ): Promise<Rejection | undefined> {
     const { step, index, attempt } = run;
     const ticket = step.advice.tickets.get(run.workerId);
     const { checkpoint } = step.tasks[index]!;
@@ -142,7 +150,7 @@
     );
   }
 
-  function sendStop(run: Run, worker: Worker): Promise<OrderResult> {
+  function sendStop(run: Run, worker: Worker): Promise<Rejection | undefined> {
     // For a worker that had left the registry before this term began, only the id is known.
     if (worker.entry.address === '') return Promise.resolve(Rejection.Unknown);
     return sendInSession(run.workerId, (fencingToken) =>
@@ -221,9 +229,14 @@
         await withdrawStart(run, obstacle, mayHaveRun);
         return;
       }
+      const leaseUntilMs = findLeaseEnd(run, worker);
+      if (leaseUntilMs === undefined) {
+        await clock.sleep(startRetryDelayMs);
+        continue;
+      }
       run.isStartUncertain = true;
       hasAttempted = true;
-      const outcome = await sendStart(run, worker);
+      const outcome = await sendStart(run, worker, leaseUntilMs);
       if (outcome === undefined) {
         run.isStartUncertain = false;
         run.progressAtMs = clock.now();
--- a/src/cell/term_test.ts
+++ b/src/cell/term_test.ts
@@ -109,9 +109,9 @@
   const workers: WorkerClient = {
     async start({ id }) {
       starts.push({ worker: id, atMs: clock.now() });
-      return undefined;
+      return {};
     },
-    stop: async () => undefined,
+    stop: async () => ({}),
     async renewLease({ id }) {
       await clock.sleep(100);
       if (silent.has(id)) return Rejection.Unknown;
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -16,11 +16,38 @@
 import { Rejection } from '../model/mod.ts';
 import type { WorkerEntry, WorkerReport, WorkerClient } from '../model/mod.ts';
 
+/** Why a session has ended, for the log. */
+export const SessionEnd = {
+  NoResponse: 'no response to a renewal',
+  Pause: 'a pause of the renewals',
+  OtherReport: 'a report of another incarnation',
+  OtherClock: 'the clock in the response to an order is that of another incarnation',
+  OtherRegistered: 'another incarnation in the registry',
+} as const;
+
+/** One of the values of {@link SessionEnd}. */
+export type SessionEnd = (typeof SessionEnd)[keyof typeof SessionEnd];
+
+/** What an order is sent with, and its response checked against. */
+export interface OrderSession {
+  fencingToken: number;
+  /** The worker's clock cannot show less from now on, unless it starts again; undefined between sessions. */
+  earliestClockMs: number | undefined;
+}
+
 /** The link to one worker. */
 export interface WorkerLink {
   run(signal: AbortSignal): Promise<void>;
   /** Fencing token of the current session. */
   fencingToken(): number;
+  /** Returns the session for an order that is sent now. */
+  openOrder(): OrderSession;
+  /**
+   * Whether the response to an order came from the incarnation of the current session. The clock of
+   * another incarnation ends the session: that incarnation has granted its longest lease. A response
+   * without a clock says nothing about the incarnation.
+   */
+  confirmResponse(session: OrderSession, clockMs: number | undefined): boolean;
   /**
    * Returns the lease end for an order that is sent now, on the worker's clock, and postpones
    * `leasesExpireAtMs`. Undefined between sessions, since any order would postpone that time, and while
@@ -31,9 +58,11 @@
   leasesExpireAtMs(): number;
   /**
    * The same for runs whose start orders may be carried out late by an incarnation that has not
-   * responded yet.
+   * reported yet.
    */
   lateStartsExpireAtMs(): number;
+  /** Start time of the newest incarnation; infinite if only the clock in a response has shown it. */
+  newestIncarnationMs(): number;
   /** Records the incarnation that the registry shows; another one ends the session. */
   recordRegisteredIncarnation(incarnationStartMs: number): void;
 }
@@ -58,7 +87,7 @@
   /** Handles a report; resolves with true once the ends in it are stored. */
   onReport(report: WorkerReport, sentAtMs: number): Promise<boolean>;
   /** Called when a session has ended: the next report belongs to the one with this token. */
-  onSessionEnded(nextToken: number): void;
+  onSessionEnded(nextToken: number, reason: SessionEnd): void;
   onRenewalFailed(rejection: Rejection): void;
   onFenced(): void;
   /** Called when handling a report throws; the link goes on. */
@@ -101,6 +130,8 @@
   /** Monotonic time of the last order with a lease, or the last that predecessors may have sent. */
   let lastOrderAtMs = options.predecessorLeasesEndAtMs - maxRemainingLeaseMs;
   let registeredIncarnationMs = 0;
+  /** The clock in the response to an order has shown an incarnation that has not reported yet. */
+  let isReplaced = false;
   let stopWaiting: (() => void) | undefined;
 
   function extendToLongestLease(): void {
@@ -119,12 +150,19 @@
     return Math.floor(clockReading.workerMs + (nowMs - clockReading.atMs) + leaseMs);
   }
 
-  function endSession(): void {
+  function openOrder(): OrderSession {
+    if (!clockReading) return { fencingToken, earliestClockMs: undefined };
+    const elapsedMs = clock.now() - clockReading.atMs;
+    const earliestClockMs = Math.floor(clockReading.workerMs + elapsedMs / maxClockDriftFactor) - 1;
+    return { fencingToken, earliestClockMs };
+  }
+
+  function endSession(reason: SessionEnd): void {
     if (!clockReading) return;
     clockReading = undefined;
     lastStoredSequence = 0;
     fencingToken = nextFencingToken();
-    options.onSessionEnded(fencingToken);
+    options.onSessionEnded(fencingToken, reason);
     stopWaiting?.();
   }
 
@@ -133,6 +171,19 @@
     // Its lease end, on the clock of a former incarnation, lies far in the future.
     if (report.incarnationStartMs !== incarnationStartMs) extendToLongestLease();
     incarnationStartMs = report.incarnationStartMs;
+    isReplaced = false;
+  }
+
+  function confirmResponse(session: OrderSession, clockMs: number | undefined): boolean {
+    const { earliestClockMs } = session;
+    const isOther =
+      clockMs !== undefined && earliestClockMs !== undefined && clockMs < earliestClockMs;
+    if (isOther) extendToLongestLease();
+    if (session.fencingToken !== fencingToken) return false;
+    if (!isOther) return true;
+    isReplaced = true;
+    endSession(SessionEnd.OtherClock);
+    return false;
   }
 
   async function handleReport(report: WorkerReport, sentAtMs: number): Promise<void> {
@@ -140,7 +191,7 @@
     else if (report.incarnationStartMs !== incarnationStartMs) {
       // The renewal reached an incarnation for which it was not meant, and its report is not complete.
       extendToLongestLease();
-      endSession();
+      endSession(SessionEnd.OtherReport);
       return;
     }
     clockReading = { workerMs: report.clockMs, atMs: clock.now() };
@@ -177,7 +228,7 @@
   /** Ends a session whose next renewal was delayed, as by a store that does not respond or a pause. */
   function endPausedSession(): void {
     const readAtMs = lastReading.atMs() ?? -Infinity;
-    if (clock.now() - readAtMs > maxSessionPauseMs) endSession();
+    if (clock.now() - readAtMs > maxSessionPauseMs) endSession(SessionEnd.Pause);
   }
 
   async function renewLease(): Promise<void> {
@@ -194,7 +245,7 @@
       onFenced();
       return;
     }
-    endSession();
+    endSession(SessionEnd.NoResponse);
     onRenewalFailed(result);
     await clock.sleep(retryDelayMs);
   }
@@ -213,12 +264,16 @@
     fencingToken: () => fencingToken,
     leaseUntilMs,
     leasesExpireAtMs: () => leasesExpireAtMs,
+    openOrder,
+    confirmResponse,
     lateStartsExpireAtMs: () =>
       Math.max(leasesExpireAtMs, lastOrderAtMs + maxCallDelayMs + maxRemainingLeaseMs),
+    newestIncarnationMs: () =>
+      isReplaced ? Infinity : Math.max(registeredIncarnationMs, incarnationStartMs ?? 0),
     recordRegisteredIncarnation(registeredMs) {
       if (registeredMs === registeredIncarnationMs) return;
       registeredIncarnationMs = registeredMs;
-      if (registeredMs > (incarnationStartMs ?? 0)) endSession();
+      if (registeredMs > (incarnationStartMs ?? 0)) endSession(SessionEnd.OtherRegistered);
     },
     async run(signal) {
       while (!signal.aborted) {
--- a/src/cell/worker_link_session_test.ts
+++ b/src/cell/worker_link_session_test.ts
@@ -102,4 +102,41 @@
   assert.ok(link.lateStartsExpireAtMs() >= lastOrderAtMs + 12_000 + 6_000);
 });
 
+/** Opens a session with an incarnation whose clock shows 50 s, and sends an order in it. */
+async function openOrder() {
+  const { link, state, run, nowMs } = makeTestLink([report(50_000), neverSettled]);
+  run().catch(() => undefined);
+  while (state.reports < 1) await systemClock.sleep(1);
+  return { link, state, nowMs, session: link.openOrder() };
+}
+
+// Guards against a start in an incarnation that has not reported yet, counted with the lease of the former one.
+test('a response with an earlier clock ends the session and counts as the longest lease', async () => {
+  const { link, state, session, nowMs } = await openOrder();
+  assert.is(link.confirmResponse(session, 60), false);
+  assert.is(state.sessionsEnded, 1);
+  assert.is(link.leaseUntilMs(), undefined);
+  assert.is(link.newestIncarnationMs(), Infinity);
+  assert.ok(link.leasesExpireAtMs() >= nowMs() + 6_000);
+});
+
+// Guards against sessions that end for no reason, which costs a renewal and delays starts.
+test('a clock that runs 2% slow, or none, is no sign of another incarnation', async () => {
+  const { link, state, session, nowMs } = await openOrder();
+  const elapsedMs = nowMs() - state.reportedAtMs;
+  assert.ok(link.confirmResponse(session, 50_000 + elapsedMs * 0.98));
+  assert.ok(link.confirmResponse(session, undefined));
+  assert.is(state.sessionsEnded, 0);
+});
+
+// Guards against an order that counts as carried out although the next session's list may lack it.
+test('a response to an order of an earlier session confirms nothing', async () => {
+  const { link, state, session } = await openOrder();
+  link.recordRegisteredIncarnation(2);
+  assert.is(state.sessionsEnded, 1);
+  assert.is(link.confirmResponse(session, 50_100), false);
+  assert.is(state.sessionsEnded, 1);
+  assert.is(link.newestIncarnationMs(), 2);
+});
+
 test.run();
--- a/src/host/_worker_calls.ts
+++ b/src/host/_worker_calls.ts
@@ -4,6 +4,7 @@
 import type {
   LeaseRenewal,
   OrderResult,
+  Rejection,
   StartOrder,
   StopOrder,
   WorkerAddress,
@@ -18,7 +19,9 @@
 
 /** The result of a call; `null` stands for an order that was carried out. */
 export interface WorkerCallResult {
-  result: Exclude<OrderResult, undefined> | WorkerReport | null;
+  result: Rejection | WorkerReport | null;
+  /** The worker's clock in its response to an order. */
+  clockMs?: number;
 }
 
 /** Whether a value that arrived from another process names a worker. */
@@ -27,14 +30,18 @@
   return typeof id === 'string' && typeof address === 'string';
 }
 
+function encodeOrderResult({ rejection, ...rest }: OrderResult): WorkerCallResult {
+  return { result: rejection ?? null, ...rest };
+}
+
 /** Makes a call with this process's own connections. */
 export async function makeWorkerCall(
   workers: WorkerClient,
   call: WorkerCall,
 ): Promise<WorkerCallResult> {
   const { worker } = call;
-  if ('start' in call) return { result: (await workers.start(worker, call.start)) ?? null };
-  if ('stop' in call) return { result: (await workers.stop(worker, call.stop)) ?? null };
+  if ('start' in call) return encodeOrderResult(await workers.start(worker, call.start));
+  if ('stop' in call) return encodeOrderResult(await workers.stop(worker, call.stop));
   if ('renewal' in call) return { result: await workers.renewLease(worker, call.renewal) };
   workers.disconnect(worker);
   return { result: null };
--- /dev/null
+++ b/src/host/unknown_incarnation_test.ts
@@ -0,0 +1,63 @@
+import { suite } from 'uvu';
+import * as assert from 'uvu/assert';
+
+import { systemClock } from '../clock/mod.ts';
+import { startTestCluster } from '../testing/site.ts';
+import type { TestCluster } from '../testing/site.ts';
+
+const test = suite('workers that are back and unknown');
+
+/** Duration of the work before the crash, after which the leases from the idle time have almost ended. */
+const busyMs = 2_000;
+/** Longest lease that a worker grants. */
+const maxLeaseMs = 6_000;
+
+function makeJob(ms: number, count = 1) {
+  const phase = { count, cpu: 1_000, mem_mb: 100, estimated_ms: ms, anti_affinity: 1 };
+  return { spec: JSON.stringify({ ms, how: 'done' }), phases: [phase] };
+}
+
+async function submit(cluster: TestCluster, jobNumber: number, job: object): Promise<string> {
+  const path = `/batch/${jobNumber.toString(16).padStart(16, '0')}`;
+  const { status } = await cluster.send('POST', path, { body: job });
+  assert.is(status, 200);
+  return path;
+}
+
+/** Runs short jobs on all workers, since a scheduler requests the longest leases while it stores nothing. */
+async function keepBusy(cluster: TestCluster): Promise<void> {
+  const untilMs = performance.now() + busyMs;
+  for (let jobNumber = 1; performance.now() < untilMs; jobNumber += 1) {
+    const path = await submit(cluster, jobNumber, makeJob(20, cluster.standin.workers.length));
+    await cluster.waitForState(path, 'completed');
+  }
+}
+
+// Guards against a second run of a task whose start was carried out by an incarnation that was not known yet.
+[{ responds: true, outcome: 'with a response', submittedAfterMs: 0 }].forEach(
+  ({ responds, outcome, submittedAfterMs }) =>
+    test(`a start that an unknown incarnation carried out ${outcome} ends before the task starts again`, async () => {
+      const cluster = await startTestCluster({ hosts: 1, workers: 2 });
+      try {
+        await keepBusy(cluster);
+        const earlier = cluster.starts().length;
+        cluster.standin.workers.forEach((worker) => {
+          worker.crash();
+          worker.cutOffAfterStart({ responds });
+        });
+        await systemClock.sleep(submittedAfterMs);
+        await submit(cluster, 0, makeJob(60_000));
+        await systemClock.sleep(maxLeaseMs);
+        const starts = cluster.starts().filter(({ task }) => task.startsWith('0000000000000000.'));
+        assert.equal(
+          starts.map(({ attempt }) => attempt),
+          [1],
+        );
+        assert.ok(cluster.starts().length > earlier);
+      } finally {
+        await cluster.close();
+      }
+    }),
+);
+
+test.run();
--- a/src/host/worker_relays.ts
+++ b/src/host/worker_relays.ts
@@ -111,11 +111,11 @@
           ? makeWorkerCall(direct, request)
           : { result: Rejection.Unknown };
       },
-      Right: ({ result = Rejection.Unknown }) => {
+      Right: ({ result = Rejection.Unknown, ...rest }) => {
         if (result === Rejection.Unknown) {
           directUntilMs.set(worker.id, clock.now() + directCallsMs);
         }
-        return { result };
+        return { result, ...rest };
       },
     });
   }
@@ -140,8 +140,8 @@
   }
 
   async function sendOrder(request: WorkerCall): Promise<OrderResult> {
-    const { result } = await call(request, orderTimeoutMs);
-    return (result as Rejection | null) ?? undefined;
+    const { result, ...rest } = await call(request, orderTimeoutMs);
+    return result === null ? rest : { rejection: result as Rejection, ...rest };
   }
 
   return {
--- a/src/host/worker_relays_test.ts
+++ b/src/host/worker_relays_test.ts
@@ -7,7 +7,7 @@
 import { ErrorKind, makeFailure } from '../errors/mod.ts';
 import { silentLogger } from '../logs/mod.ts';
 import { Rejection } from '../model/mod.ts';
-import type { StartOrder, WorkerClient } from '../model/mod.ts';
+import type { StartOrder, WorkerAddress, WorkerClient } from '../model/mod.ts';
 import type { PingResult } from './peer_client.ts';
 import { makeWorkerRelays } from './worker_relays.ts';
 import type { WorkerRelayOptions } from './worker_relays.ts';
@@ -63,7 +63,7 @@
   const direct: Partial<WorkerClient> = {
     async start() {
       calls.push('direct');
-      return undefined;
+      return {};
     },
     disconnect: () => undefined,
   };
@@ -86,11 +86,16 @@
       },
     },
   });
+  async function startOn(worker: WorkerAddress): Promise<Rejection | undefined> {
+    const { rejection } = await client.start(worker, order);
+    return rejection;
+  }
   return {
     calls,
     state,
-    startAll: () => Promise.all(workers.map((worker) => client.start(worker, order))),
-    startOne: () => client.start(workers[0]!, order),
+    client,
+    startAll: () => Promise.all(workers.map(startOn)),
+    startOne: () => startOn(workers[0]!),
   };
 }
 
@@ -173,4 +178,11 @@
   assert.not.equal(calls, ['direct']);
 });
 
+// Guards against a start through a relay whose response cannot tell a new incarnation from the former one.
+test('the clock in the response to an order arrives through a relay', async () => {
+  const { client } = setUp(async () => Right({ result: Rejection.Late, clockMs: 60 }));
+  await Promise.all(workers.map((worker) => client.stop(worker, order)));
+  assert.equal(await client.start(workers[0]!, order), { rejection: Rejection.Late, clockMs: 60 });
+});
+
 test.run();
--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -100,8 +100,12 @@
 /** One of the values of {@link Rejection}. */
 export type Rejection = (typeof Rejection)[keyof typeof Rejection];
 
-/** The result of an order: undefined if the worker carried it out. */
-export type OrderResult = Rejection | undefined;
+/** The result of an order; without a rejection, the worker has carried it out. */
+export interface OrderResult {
+  rejection?: Rejection;
+  /** The worker's clock in its response, which tells its incarnations apart. */
+  clockMs?: number;
+}
 
 /** What names a worker in a request to it. */
 export type WorkerAddress = Pick<WorkerEntry, 'id' | 'address'>;
--- a/src/testing/fake_orders.ts
+++ b/src/testing/fake_orders.ts
@@ -12,9 +12,24 @@
 import type { CellState, Run } from '../scheduler/mod.ts';
 import { acceptedJob, cellWithWorkers, decisionInputs, stepSpec, submit } from './fake_cell.ts';
 
-/** Makes a run on the only worker of a cell, and an order sender that uses the given client. */
+/** The worker's side of a test: each order resolves with its rejection, or undefined if it is carried out. */
+export type OrderOutcomes = {
+  [Order in 'start' | 'stop']?: (
+    ...order: Parameters<WorkerClient[Order]>
+  ) => Promise<Rejection | undefined>;
+};
+
+function makeWorkers({ start, stop }: OrderOutcomes): Pick<WorkerClient, 'start' | 'stop'> {
+  const toResult = (rejection: Rejection | undefined) => (rejection ? { rejection } : {});
+  return {
+    start: async (...order) => toResult(await start?.(...order)),
+    stop: async (...order) => toResult(await stop?.(...order)),
+  };
+}
+
+/** Makes a run on the only worker of a cell, and an order sender whose orders have the given outcomes. */
 export function makeOrders(
-  workers: Partial<WorkerClient>,
+  outcomes: OrderOutcomes,
   onRejected: (rejection: Rejection) => void = () => {},
   findObstacle: () => StartObstacle | undefined = () => undefined,
   {
@@ -25,13 +40,17 @@
   const state = cellWithWorkers(1);
   submit(state, acceptedJob('a', [stepSpec()]));
   const [run] = decideStarts(state, decisionInputs()).starts;
+  const link: Pick<WorkerLink, 'leaseUntilMs' | 'openOrder' | 'confirmResponse'> = {
+    leaseUntilMs: () => 1_000,
+    openOrder: () => ({ fencingToken: getToken(), earliestClockMs: undefined }),
+    confirmResponse: ({ fencingToken }) => fencingToken === getToken(),
+  };
   const orders = makeOrderSender({
     state,
-    workers: workers as WorkerClient,
+    workers: makeWorkers(outcomes) as WorkerClient,
     clock: systemClock,
     log: silentLogger,
-    findLink: () =>
-      ({ leaseUntilMs: () => 1_000, fencingToken: getToken }) as Partial<WorkerLink> as WorkerLink,
+    findLink: () => link as Partial<WorkerLink> as WorkerLink,
     hasEnded: () => false,
     findObstacle,
     onRejected: (_run, rejection) => onRejected(rejection),
