Wait for the longest lease where a start got no response

Cause: a new incarnation that nobody knows of carries out a start, and the response is lost as the worker is cut off. The lease counts as the one that was asked for, and the run is started elsewhere while the first one goes on. Only runs whose worker the registry shows as replaced waited longer.

Change: a run whose last start order got no response, on a worker that does not respond, is given up one order timeout and the longest lease after the last order, 7.5 s in place of 4.7 s. An order that such an incarnation carries out later than its timeout is not allowed for, as before: it would take 18 s, and lost work may not stand still for so long.

--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -201,7 +201,7 @@
   /** Returns when a run on an unresponsive worker has ended, whatever incarnation carried out its start. */
   function getExpiryMs(run: Run, link: WorkerLink): number {
     if (mayStartInIncarnation(run, link.newestIncarnationMs())) return link.lateStartsExpireAtMs();
-    return link.leasesExpireAtMs();
+    return run.isStartUncertain ? link.uncertainStartsExpireAtMs() : link.leasesExpireAtMs();
   }
 
   function handleExpiredLeases(worker: Worker, nowMs: number): void {
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -56,6 +56,11 @@
   leaseUntilMs(): number | undefined;
   /** Monotonic time after which nothing runs on the worker unless its leases are renewed. */
   leasesExpireAtMs(): number;
+  /**
+   * The same for runs whose start orders got no response: an incarnation that nobody knows of may have
+   * carried them out and granted its longest lease.
+   */
+  uncertainStartsExpireAtMs(): number;
   /**
    * The same for runs whose start orders may be carried out late by an incarnation that has not
    * reported yet.
@@ -105,6 +110,8 @@
 const expiryMarginMs = 100;
 /** Without a call for this long, the worker may have started again unnoticed. */
 const maxSessionPauseMs = 2_000;
+/** Longest timeout of an order. */
+const orderTimeoutMs = 1_200;
 /** A call without a response may be carried out up to this much later. */
 const maxCallDelayMs = 12_000;
 
@@ -266,6 +273,8 @@
     leasesExpireAtMs: () => leasesExpireAtMs,
     openOrder,
     confirmResponse,
+    uncertainStartsExpireAtMs: () =>
+      Math.max(leasesExpireAtMs, lastOrderAtMs + orderTimeoutMs + maxRemainingLeaseMs),
     lateStartsExpireAtMs: () =>
       Math.max(leasesExpireAtMs, lastOrderAtMs + maxCallDelayMs + maxRemainingLeaseMs),
     newestIncarnationMs: () =>
--- a/src/cell/worker_link_session_test.ts
+++ b/src/cell/worker_link_session_test.ts
@@ -139,4 +139,12 @@
   assert.is(link.newestIncarnationMs(), 2);
 });
 
+// Guards against a second run while the first one, whose response was lost, holds the longest lease.
+test('a start without a response may have the longest lease from its timeout on', async () => {
+  const { link, nowMs } = await openOrder();
+  link.leaseUntilMs();
+  assert.ok(link.uncertainStartsExpireAtMs() >= nowMs() + 900 + 6_000);
+  assert.ok(link.uncertainStartsExpireAtMs() < link.lateStartsExpireAtMs());
+});
+
 test.run();
--- a/src/host/unknown_incarnation_test.ts
+++ b/src/host/unknown_incarnation_test.ts
@@ -34,30 +34,33 @@
 }
 
 // Guards against a second run of a task whose start was carried out by an incarnation that was not known yet.
-[{ responds: true, outcome: 'with a response', submittedAfterMs: 0 }].forEach(
-  ({ responds, outcome, submittedAfterMs }) =>
-    test(`a start that an unknown incarnation carried out ${outcome} ends before the task starts again`, async () => {
-      const cluster = await startTestCluster({ hosts: 1, workers: 2 });
-      try {
-        await keepBusy(cluster);
-        const earlier = cluster.starts().length;
-        cluster.standin.workers.forEach((worker) => {
-          worker.crash();
-          worker.cutOffAfterStart({ responds });
-        });
-        await systemClock.sleep(submittedAfterMs);
-        await submit(cluster, 0, makeJob(60_000));
-        await systemClock.sleep(maxLeaseMs);
-        const starts = cluster.starts().filter(({ task }) => task.startsWith('0000000000000000.'));
-        assert.equal(
-          starts.map(({ attempt }) => attempt),
-          [1],
-        );
-        assert.ok(cluster.starts().length > earlier);
-      } finally {
-        await cluster.close();
-      }
-    }),
+[
+  { responds: true, outcome: 'with a response', submittedAfterMs: 0 },
+  // The renewal in flight times out soon afterwards, so that the start is sent only once.
+  { responds: false, outcome: 'without a response', submittedAfterMs: 2_200 },
+].forEach(({ responds, outcome, submittedAfterMs }) =>
+  test(`a start that an unknown incarnation carried out ${outcome} ends before the task starts again`, async () => {
+    const cluster = await startTestCluster({ hosts: 1, workers: 2 });
+    try {
+      await keepBusy(cluster);
+      const earlier = cluster.starts().length;
+      cluster.standin.workers.forEach((worker) => {
+        worker.crash();
+        worker.cutOffAfterStart({ responds });
+      });
+      await systemClock.sleep(submittedAfterMs);
+      await submit(cluster, 0, makeJob(60_000));
+      await systemClock.sleep(maxLeaseMs);
+      const starts = cluster.starts().filter(({ task }) => task.startsWith('0000000000000000.'));
+      assert.equal(
+        starts.map(({ attempt }) => attempt),
+        [1],
+      );
+      assert.ok(cluster.starts().length > earlier);
+    } finally {
+      await cluster.close();
+    }
+  }),
 );
 
 test.run();
