Allow for the last orders of a predecessor that has ended

An order that the predecessor sent just before may be carried out until its timeout, 1.2 s later, by a worker that is just back, and its lease counts from then.

Change: the wait grows by that timeout, from 6.2 to 7.4 s. Where the predecessor may still act, the 3 s for its renewals cover it, but for orders in the last 1.2 s of them: a longer wait would let lost work stand still for more than 14 s with detection and claim.

--- a/src/cell/_leases.ts
+++ b/src/cell/_leases.ts
@@ -4,7 +4,7 @@
  * A scheduler without the store may have a successor, which waits for the leases at each worker that it
  * cannot reach. The time without the store is therefore short, and the leases cover the rest of an outage.
  */
-import { maxClockDriftFactor } from './worker_link.ts';
+import { maxClockDriftFactor, maxOrderTimeoutMs } from './worker_link.ts';
 
 const normalLeaseMs = 4_500;
 /** A store without a commit for this long may have an outage. */
@@ -35,5 +35,7 @@
   maxLeaseMs: number;
   predecessorMayAct: boolean;
 }): number {
-  return maxLeaseMs * maxClockDriftFactor + (predecessorMayAct ? maxRenewalWithoutStoreMs : 0);
+  // Orders that were sent just before the claim may be carried out after it.
+  const lastOrderAfterMs = predecessorMayAct ? maxRenewalWithoutStoreMs : maxOrderTimeoutMs;
+  return maxLeaseMs * maxClockDriftFactor + lastOrderAfterMs;
 }
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -110,9 +110,9 @@
 const expiryMarginMs = 100;
 /** Without a call for this long, the worker may have started again unnoticed. */
 const maxSessionPauseMs = 2_000;
-/** Longest timeout of an order. */
-const orderTimeoutMs = 1_200;
-/** A call without a response may be carried out up to this much later. */
+/** Longest timeout of an order; one without a response may be carried out until then. */
+export const maxOrderTimeoutMs = 1_200;
+/** Longest delay with which a call without a response may be carried out. */
 const maxCallDelayMs = 12_000;
 
 /**
@@ -274,7 +274,7 @@
     openOrder,
     confirmResponse,
     uncertainStartsExpireAtMs: () =>
-      Math.max(leasesExpireAtMs, lastOrderAtMs + orderTimeoutMs + maxRemainingLeaseMs),
+      Math.max(leasesExpireAtMs, lastOrderAtMs + maxOrderTimeoutMs + maxRemainingLeaseMs),
     lateStartsExpireAtMs: () =>
       Math.max(leasesExpireAtMs, lastOrderAtMs + maxCallDelayMs + maxRemainingLeaseMs),
     newestIncarnationMs: () =>
