Wait for late calls to every incarnation that a response has shown

Cause: a new incarnation whose first sign is the report of a renewal that was not meant for it, or a response that arrives after its session has ended, was not remembered if it was cut off before its own first report.

Change: each such sign is kept until the next session opens. The two new tests failed before and pass.

--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -66,7 +66,7 @@
    * reported yet.
    */
   lateStartsExpireAtMs(): number;
-  /** Start time of the newest incarnation; infinite if only the clock in a response has shown it. */
+  /** Start time of the newest incarnation; infinite if a response outside its own sessions has shown it. */
   newestIncarnationMs(): number;
   /** Records the incarnation that the registry shows; another one ends the session. */
   recordRegisteredIncarnation(incarnationStartMs: number): void;
@@ -137,7 +137,7 @@
   /** Monotonic time of the last order with a lease, or the last that predecessors may have sent. */
   let lastOrderAtMs = options.predecessorLeasesEndAtMs - maxRemainingLeaseMs;
   let registeredIncarnationMs = 0;
-  /** The clock in the response to an order has shown an incarnation that has not reported yet. */
+  /** A response has shown an incarnation that has not opened a session yet. */
   let isReplaced = false;
   let stopWaiting: (() => void) | undefined;
 
@@ -181,15 +181,18 @@
     isReplaced = false;
   }
 
+  /** Allows for what another incarnation, which has not opened a session, has granted and may run. */
+  function recordOtherIncarnation(): void {
+    extendToLongestLease();
+    if (!clockReading) isReplaced = true;
+  }
+
   function confirmResponse(session: OrderSession, clockMs: number | undefined): boolean {
-    const { earliestClockMs } = session;
-    const isOther =
-      clockMs !== undefined && earliestClockMs !== undefined && clockMs < earliestClockMs;
-    if (isOther) extendToLongestLease();
-    if (session.fencingToken !== fencingToken) return false;
-    if (!isOther) return true;
-    isReplaced = true;
-    endSession(SessionEnd.OtherClock);
+    const isCurrent = session.fencingToken === fencingToken;
+    if (clockMs === undefined || clockMs >= (session.earliestClockMs ?? -Infinity))
+      return isCurrent;
+    if (isCurrent) endSession(SessionEnd.OtherClock);
+    recordOtherIncarnation();
     return false;
   }
 
@@ -197,8 +200,8 @@
     if (!clockReading) openSession(report);
     else if (report.incarnationStartMs !== incarnationStartMs) {
       // The renewal reached an incarnation for which it was not meant, and its report is not complete.
-      extendToLongestLease();
       endSession(SessionEnd.OtherReport);
+      recordOtherIncarnation();
       return;
     }
     clockReading = { workerMs: report.clockMs, atMs: clock.now() };
--- a/src/cell/worker_link_session_test.ts
+++ b/src/cell/worker_link_session_test.ts
@@ -134,11 +134,32 @@
   const { link, state, session } = await openOrder();
   link.recordRegisteredIncarnation(2);
   assert.is(state.sessionsEnded, 1);
-  assert.is(link.confirmResponse(session, 50_100), false);
+  assert.is(link.confirmResponse(session, 51_000), false);
   assert.is(state.sessionsEnded, 1);
   assert.is(link.newestIncarnationMs(), 2);
 });
 
+// Guards against late calls to a new incarnation that are not waited for, as its first sign came too late.
+test('an earlier clock in a response that arrives after its session shows a new incarnation', async () => {
+  const { link, state, session, nowMs } = await openOrder();
+  link.recordRegisteredIncarnation(2);
+  assert.is(link.confirmResponse(session, 60), false);
+  assert.is(state.sessionsEnded, 1);
+  assert.is(link.newestIncarnationMs(), Infinity);
+  assert.ok(link.leasesExpireAtMs() >= nowMs() + 6_000);
+});
+
+// Guards against late calls to a new incarnation that are not waited for, as it did not open a session.
+test('a report of another incarnation to which the renewal was not sent shows that incarnation', async () => {
+  const { link, run } = makeTestLink([
+    report(50_000),
+    report(5, { incarnationStartMs: 2 }),
+    Rejection.Unknown,
+  ]);
+  await run();
+  assert.is(link.newestIncarnationMs(), Infinity);
+});
+
 // Guards against a second run while the first one, whose response was lost, holds the longest lease.
 test('a start without a response may have the longest lease from its timeout on', async () => {
   const { link, nowMs } = await openOrder();
