Read the names of failed tests in suites with names of several words

The runner found the name of a failed test only if its suite's name was one word; otherwise the failure was the file with its exit code, so such a test could not be listed in KNOWN-RED.txt by its name, and a listed one would have counted as red.

--- a/src/testing/_run_files.ts
+++ b/src/testing/_run_files.ts
@@ -38,7 +38,7 @@
 
 function readResult(file: string, output: string, code: number | null): FileResult {
   const passed = Number(/Passed:\s+(\d+)/.exec(output)?.[1] ?? 0);
-  const failures = [...output.matchAll(/^\s*FAIL\s+(?:\S+\s+)??"(.+)"\s*$/gm)].map(
+  const failures = [...output.matchAll(/^\s*FAIL\s+[^"]*"(.+)"\s*$/gm)].map(
     ([, name]) => `${file} ${name}`,
   );
   if (code !== 0 && failures.length === 0) failures.push(`${file} (exit code ${code})`);
