--- a/src/host/unknown_incarnation_test.ts
+++ b/src/host/unknown_incarnation_test.ts
@@ -1,6 +1,7 @@
 import { suite } from 'uvu';
 import * as assert from 'uvu/assert';
 
+import type { WorkerStandin } from '../../platform/standin/mod.ts';
 import { systemClock } from '../clock/mod.ts';
 import { startTestCluster } from '../testing/site.ts';
 import type { TestCluster } from '../testing/site.ts';
@@ -11,14 +12,20 @@
 const busyMs = 2_000;
 /** Longest lease that a worker grants. */
 const maxLeaseMs = 6_000;
+/** Number of the job whose only task may run once at a time. */
+const longJobNumber = 0;
 
 function makeJob(ms: number, count = 1) {
   const phase = { count, cpu: 1_000, mem_mb: 100, estimated_ms: ms, anti_affinity: 1 };
   return { spec: JSON.stringify({ ms, how: 'done' }), phases: [phase] };
 }
 
+function makeJobId(jobNumber: number): string {
+  return jobNumber.toString(16).padStart(16, '0');
+}
+
 async function submit(cluster: TestCluster, jobNumber: number, job: object): Promise<string> {
-  const path = `/batch/${jobNumber.toString(16).padStart(16, '0')}`;
+  const path = `/batch/${makeJobId(jobNumber)}`;
   const { status } = await cluster.send('POST', path, { body: job });
   assert.is(status, 200);
   return path;
@@ -33,6 +40,14 @@
   }
 }
 
+/** Returns the attempts of the task that have started. */
+function listAttempts(cluster: TestCluster): number[] {
+  return cluster
+    .starts()
+    .filter(({ task }) => task === `${makeJobId(longJobNumber)}.0.0.0`)
+    .map(({ attempt }) => attempt);
+}
+
 // Guards against a second run of a task whose start was carried out by an incarnation that was not known yet.
 [
   { responds: true, outcome: 'with a response', submittedAfterMs: 0 },
@@ -48,17 +63,36 @@
         worker.cutOffAfterStart({ responds });
       });
       await systemClock.sleep(submittedAfterMs);
-      await submit(cluster, 0, makeJob(60_000));
+      await submit(cluster, longJobNumber, makeJob(60_000));
       await systemClock.sleep(maxLeaseMs);
-      const starts = cluster.starts().filter(({ task }) => task.startsWith('0000000000000000.'));
-      assert.equal(
-        starts.map(({ attempt }) => attempt),
-        [1],
-      );
+      assert.equal(listAttempts(cluster), [1]);
     } finally {
       await cluster.close();
     }
   }),
 );
 
+// Guards against a second run while a worker that nobody can reach carries out a start of its former incarnation.
+test('a start that an unknown incarnation carries out seconds later ends before the task starts again', async () => {
+  const cluster = await startTestCluster({ hosts: 1, workers: 2 });
+  try {
+    await keepBusy(cluster);
+    const holdBackStart = async (worker: WorkerStandin) => ({
+      worker,
+      carryOut: await worker.holdBackStart(),
+    });
+    const heldBack = Promise.race(cluster.standin.workers.map(holdBackStart));
+    await submit(cluster, longJobNumber, makeJob(60_000));
+    const { worker, carryOut } = await heldBack;
+    worker.setUnresponsive(true);
+    worker.crash();
+    await systemClock.sleep(5_000);
+    await carryOut();
+    await systemClock.sleep(maxLeaseMs);
+    assert.equal(listAttempts(cluster), [1]);
+  } finally {
+    await cluster.close();
+  }
+});
+
 test.run();
