--- a/review/lib-3/soak.mjs
+++ b/review/lib-3/soak.mjs
@@ -360,7 +360,7 @@
         runs.filter(({ endedAtMs }) => endedAtMs === undefined).length < 2
       )
         addBroken.push(`LOST: ${id} lasting is not running`);
-      if (job.isCancelled && runs.some(({ endedAtMs }) => endedAtMs === undefined))
+      if (job.cancelAckedAtMs && runs.some(({ endedAtMs }) => endedAtMs === undefined))
         addBroken.push(`UNASKED: ${id} ${job.kind} runs on after cancellation`);
     });
     fleet
