--- a/review/lib-3/soak.mjs
+++ b/review/lib-3/soak.mjs
@@ -20,6 +20,8 @@
 const faults = (
   process.env.FAULTS ?? 'kill,stop,crash,cut,busy,silent,lost,term,config,evacuate,reborn,deaf,late'
 ).split(',');
+/** From 48 on, other entry processes make the scheduler's calls to workers. */
+const workers = Number(process.env.WORKERS ?? 8);
 const tenantLimit = { cpu: 40_000, mem_mb: 200_000 };
 
 function makeKind() {
@@ -163,10 +165,10 @@
 
 runCase(
   {
-    workers: Array.from({ length: 8 }, (_, index) => ({
+    workers: Array.from({ length: workers }, (_, index) => ({
       labels: [index % 2 ? 'a' : 'b', `r1-${1 + Math.floor(index / 4)}`],
       zone: ['zone-a', 'zone-b', 'zone-c'][index % 3],
-      ...(index < 4 ? {} : { service: 'desk', guards: true }),
+      ...(index < workers / 2 ? {} : { service: 'desk', guards: true }),
     })),
     routes: [
       makeRoute('work', { max_attempts: 3 }),
