--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -133,7 +133,15 @@
 /**
  * Starts a deployment. `folder` gets the file `record.txt`; all that was started ends with `close`.
  */
-export async function startDeployment({ folder, hosts = 3, workers, routes, tenants, onStart }) {
+export async function startDeployment({
+  folder,
+  hosts = 3,
+  workers,
+  routes,
+  tenants,
+  onStart,
+  services = [{ name: service }],
+}) {
   const recordFile = join(folder, 'record.txt');
   const record = createWriteStream(recordFile);
   const startedAtMs = performance.now();
@@ -153,19 +161,17 @@
   const configuration = {
     version: 1,
     routes,
-    services: [
-      {
-        name: service,
-        health_check_path: '/healthz',
-        max_connections: 64,
-        protocol: 'h1',
-        tls: false,
-        cold_start_s: 0,
-        cold_per_s: 0,
-        admission_control: false,
-        standby: false,
-      },
-    ],
+    services: services.map((each) => ({
+      health_check_path: '/healthz',
+      max_connections: 64,
+      protocol: 'h1',
+      tls: false,
+      cold_start_s: 0,
+      cold_per_s: 0,
+      admission_control: false,
+      standby: false,
+      ...each,
+    })),
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 262_144,
--- a/review/lib-3/soak.mjs
+++ b/review/lib-3/soak.mjs
@@ -22,7 +22,7 @@
 ).split(',');
 const tenantLimit = { cpu: 40_000, mem_mb: 200_000 };
 
-function makeJob() {
+function makeKind() {
   const kind = pick([
     'batch',
     'batch',
@@ -57,6 +57,12 @@
       phases: [{ count, ...base, gang_scheduled: true }],
     };
   }
+  if (kind === 'flaky') {
+    return { kind, spec: JSON.stringify({ ms, isFlaky: true }), phases: [{ count: 2, ...base }] };
+  }
+  if (kind === 'failing') {
+    return { kind, spec: JSON.stringify({ ms, failAfterMs: 80 }), phases: [{ count: 1, ...base }] };
+  }
   if (kind === 'lasting') {
     return {
       kind,
@@ -81,7 +87,15 @@
   return { kind, ...plain, phases: [{ count: 1 + Math.floor(random() * 6), ...base }] };
 }
 
+function makeJob() {
+  const job = makeKind();
+  const payload = { ...JSON.parse(job.spec), cpu: job.phases[0].cpu };
+  return { ...job, spec: JSON.stringify(payload) };
+}
+
 const jobs = new Map();
+/** The service of each queue. */
+const services = { work: 'ledger', urgent: 'ledger', open: 'ledger', desk: 'desk' };
 
 function checkStart(fleet, record, broken) {
   const { task, attempt, worker, spec, labels } = record;
@@ -98,6 +112,10 @@
     broken.push(
       `UNASKED: ${task} started ${nowMs - job.cancelAckedAtMs} ms after the cancellation`,
     );
+  const expectedService = services[job.path.split('/').at(-2)];
+  if (fleet.find((each) => each.id === worker).service !== expectedService) {
+    broken.push(`ROUTE: ${task} on ${worker} of another service`);
+  }
   if (step.requirements && !labels.includes(step.requirements))
     broken.push(`ROUTE: ${task} on ${worker} ${labels}`);
   const others = fleet.flatMap(({ history }) => history).filter((each) => each !== record);
@@ -148,11 +166,17 @@
     workers: Array.from({ length: 8 }, (_, index) => ({
       labels: [index % 2 ? 'a' : 'b', `r1-${1 + Math.floor(index / 4)}`],
       zone: ['zone-a', 'zone-b', 'zone-c'][index % 3],
+      ...(index < 4 ? {} : { service: 'desk', guards: true }),
     })),
     routes: [
       makeRoute('work', { max_attempts: 3 }),
-      makeRoute('urgent', { priority: 0, max_attempts: 3 }),
+      makeRoute('urgent', { priority: 0, max_attempts: 3, path_prefix: '/work/urgent/' }),
+      makeRoute('open', { max_attempts: 3, public: true }),
+      makeRoute('desk', { max_attempts: 3, service: 'desk' }),
     ],
+    services: [{ name: 'ledger' }, { name: 'desk', admission_control: true }],
+    onStart: ({ spec, attempt }) =>
+      JSON.parse(spec).isFlaky && attempt === 1 ? { failAfterMs: 60 } : {},
     tenants: [
       makeTenant('mill', { limit: tenantLimit }),
       makeTenant('farm', { limit: tenantLimit }),
@@ -184,7 +208,7 @@
         const job = makeJob();
         const tenant = pick(['mill', 'farm']);
         const id = makeJobId();
-        const path = `/${pick(['work', 'urgent'])}/${id}`;
+        const path = `/${pick(['work', 'work/urgent', 'open', 'desk'])}/${id}`;
         const { kind, ...body } = job;
         jobs.set(id, { ...job, tenant, path });
         pending.push(
@@ -323,12 +347,12 @@
       else if (state === 'completed' && doneTasks < wanted && !doneGang)
         addBroken.push(`MIXED: ${id} ${job.kind} completed with ${doneTasks} of ${wanted}`);
       else if (state === 'cancelled' && !job.isCancelled) addBroken.push(`LOST: ${id} cancelled`);
-      else if (state === 'failed') addBroken.push(`LOST: ${id} failed`);
+      else if (state === 'failed' && job.kind !== 'failing') addBroken.push(`LOST: ${id} failed`);
       else if ((state === 'queued' || state === 'in_progress') && job.kind !== 'lasting')
         addBroken.push(
           `LOST?: ${id} ${job.kind} still ${state}, ${doneTasks} of ${wanted}, cancelled ${job.isCancelled}`,
         );
-      else if (job.cancelAckedAtMs && !['cancelled', 'completed'].includes(state))
+      else if (job.cancelAckedAtMs && !['cancelled', 'completed', 'failed'].includes(state))
         addBroken.push(`LOST?: ${id} ${job.kind} cancel acked ${job.cancelStatus}, state ${state}`);
       if (
         job.kind === 'lasting' &&
--- a/review/lib-3/worker.mjs
+++ b/review/lib-3/worker.mjs
@@ -35,6 +35,7 @@
   onStart = () => ({}),
   gangs = new Map(),
   isTicketValid = () => true,
+  guards = false,
 }) {
   let server;
   let port = 0;
@@ -43,6 +44,7 @@
   let isCut = false;
   let isLosingAnswers = false;
   let lateShare = 0;
+  let heldStart;
   const sockets = new Set();
   /** All runs of all lives, for the checks. */
   const history = [];
@@ -118,6 +120,9 @@
   });
   const reject = (reason) => respond(409, { reason });
 
+  const getUsedCpu = () =>
+    [...life.running.values()].reduce((sum, { plan }) => sum + (plan.cpu ?? 0), 0);
+
   function start({ task, attempt, spec, deadline_ms: deadlineMs, ticket }) {
     if (deadlineMs <= clockMs()) return reject('late');
     if (life.running.get(task)?.attempt === attempt) return respond(200);
@@ -125,6 +130,7 @@
     if (attempt <= (life.highestAttempts.get(task) ?? 0) || life.running.has(task))
       return reject('old');
     const payload = JSON.parse(spec);
+    if (guards && getUsedCpu() + payload.cpu > capacity.cpu) return reject('room');
     if (payload.ticketed && !isTicketValid(ticket, { task, worker: id })) return reject('ticket');
     const record = {
       worker: id,
@@ -208,6 +214,14 @@
     const text = await readText(request);
     if (isCut) return;
     const body = text === '' ? {} : JSON.parse(text);
+    const isHeld = heldStart !== undefined && request.url === '/v1/run-start';
+    if (isHeld) {
+      const { resolve } = heldStart;
+      heldStart = undefined;
+      log('start-held', { worker: id, task: body.task, attempt: body.attempt });
+      resolve({ task: body.task, carryOut: () => carryOut(request.url, request.headers, body) });
+      return;
+    }
     if (Math.random() < lateShare) {
       // Carried out seconds later by whichever life there is then.
       const delayMs = minLateMs + Math.random() * (maxLateMs - minLateMs);
@@ -262,6 +276,7 @@
     capacity,
     history,
     isUp: () => life !== undefined,
+    service,
     labels: () => life?.labels ?? [],
     running: () => (life ? [...life.running.values()] : []),
     /** Begins a life. A life knows nothing of those before. */
@@ -280,9 +295,9 @@
         waiting: [],
         sequence: 0,
       };
-      // It registers as soon as it serves: the registry can't know of it any earlier.
+      // It registers as soon as it serves, unless it is cut off: the registry can't know of it any earlier.
       await listen();
-      register();
+      if (!isCut) register();
       log('worker-up', { worker: id, labels: ownLabels, born: life.bornMs });
       timers = [setInterval(tick, tickMs), setInterval(() => isCut || register(), heartbeatMs)];
     },
@@ -312,6 +327,18 @@
       isLosingAnswers = value;
       log('worker-loses-answers', { worker: id, isLosingAnswers });
     },
+    /**
+     * Waits for the next start order and leaves it without an answer. The function in the result carries it
+     * out, in whatever life there is then.
+     */
+    holdNextStart: () =>
+      new Promise((resolve) => {
+        heldStart = { resolve };
+      }),
+    /** Stops waiting for a start order to hold. */
+    releaseHold() {
+      heldStart = undefined;
+    },
     /** This share of the requests gets no answer and is carried out 2 to 12 s later. */
     setLateShare(share) {
       lateShare = share;
