--- a/review/lib-3/soak.mjs
+++ b/review/lib-3/soak.mjs
@@ -97,7 +97,7 @@
 
 const jobs = new Map();
 /** The service of each queue. */
-const services = { work: 'ledger', urgent: 'ledger', open: 'ledger', desk: 'desk' };
+const services = { batch: 'ledger', urgent: 'ledger', open: 'ledger', desk: 'desk' };
 
 function checkStart(fleet, record, broken) {
   const { task, attempt, worker, spec, labels } = record;
@@ -171,8 +171,8 @@
       ...(index < workers / 2 ? {} : { service: 'desk', guards: true }),
     })),
     routes: [
-      makeRoute('work', { max_attempts: 3 }),
-      makeRoute('urgent', { priority: 0, max_attempts: 3, path_prefix: '/work/urgent/' }),
+      makeRoute('batch', { max_attempts: 3 }),
+      makeRoute('urgent', { priority: 0, max_attempts: 3, path_prefix: '/batch/urgent/' }),
       makeRoute('open', { max_attempts: 3, public: true }),
       makeRoute('desk', { max_attempts: 3, service: 'desk' }),
     ],
@@ -210,7 +210,7 @@
         const job = makeJob();
         const tenant = pick(['mill', 'farm']);
         const id = makeJobId();
-        const path = `/${pick(['work', 'work/urgent', 'open', 'desk'])}/${id}`;
+        const path = `/${pick(['batch', 'batch/urgent', 'open', 'desk'])}/${id}`;
         const { kind, ...body } = job;
         jobs.set(id, { ...job, tenant, path });
         pending.push(
