Tell orders that were not sent, or got a response that confirms nothing, from those without one

Ruled out: waiting for all three alike, which holds a task back although nothing is under way.

Change: Rejection.Unsent and Rejection.Unconfirmed; a start that was not sent is no longer uncertain. The start of a run is split into steps, and what the log says of orders has a module of its own. `start-unanswered` names the reason.

--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -12,6 +12,8 @@
 import { RunPhase, getRunKey, getTaskName } from '../scheduler/mod.ts';
 import type { CellState, Run, Worker } from '../scheduler/mod.ts';
 import { StartObstacle } from './_start_conditions.ts';
+import { makeStartOrderCounts } from './_start_report.ts';
+import type { StartOrderCounts } from './_start_report.ts';
 import type { WorkerLink } from './worker_link.ts';
 
 /** Sends start and stop orders to workers. */
@@ -22,22 +24,6 @@
   takeReport(): StartOrderCounts;
 }
 
-/** Numbers of start orders, for the log. */
-export interface StartOrderCounts {
-  /** Orders sent, including repeated ones. */
-  sent: number;
-  /** Orders without a response. */
-  unanswered: number;
-  /** Orders that the worker rejected. */
-  rejected: number;
-  /** Decided starts that were not sent, since their conditions had changed. */
-  notSent: number;
-}
-
-function makeStartOrderCounts(): StartOrderCounts {
-  return { sent: 0, unanswered: 0, rejected: 0, notSent: 0 };
-}
-
 /** Dependencies and callbacks of an {@link OrderSender}. */
 export interface OrderSenderOptions {
   state: CellState;
@@ -54,29 +40,33 @@
   onFenced(): void;
 }
 
+/** What happens next to a start. */
+const StartStep = {
+  Send: 'send',
+  Wait: 'wait',
+  Settled: 'settled',
+} as const;
+
+type StartStep = (typeof StartStep)[keyof typeof StartStep];
+
 const startRetryDelayMs = 120;
 const stopRetryDelayMs = 250;
 
-/** Computes the times since the decision to start a run, for its log line. */
-export function computeOrderTimes(
-  { orderedAtMs, storedAtMs, sentAtMs, sends }: Run,
-  nowMs: number,
-): { afterMs: number; storedAfterMs?: number; sentAfterMs?: number; sends: number } {
-  const sinceOrdered = (atMs: number) => Math.round(atMs - orderedAtMs);
-  return {
-    afterMs: sinceOrdered(nowMs),
-    ...(storedAtMs === undefined ? {} : { storedAfterMs: sinceOrdered(storedAtMs) }),
-    ...(sentAtMs === undefined ? {} : { sentAfterMs: sinceOrdered(sentAtMs) }),
-    sends,
-  };
-}
-
 /** Returns the run's worker while the run is allocated there; undefined afterwards. */
 function findHoldingWorker(state: CellState, run: Run): Worker | undefined {
   const worker = state.workers.get(run.workerId);
   return worker?.runs.get(getRunKey(run)) === run ? worker : undefined;
 }
 
+function hasResponse(outcome: Rejection | undefined): boolean {
+  return outcome !== Rejection.Unknown && outcome !== Rejection.Unsent;
+}
+
+/** Whether an order has to be sent again. */
+function isInconclusive(outcome: Rejection | undefined): boolean {
+  return !hasResponse(outcome) || outcome === Rejection.Unconfirmed;
+}
+
 /**
  * Makes an order sender.
  *
@@ -106,7 +96,7 @@
 
   /**
    * Sends an order with the fencing token of the current session. A response of another session or
-   * incarnation counts as none: it is no longer known what the worker runs, and a rejection by the token
+   * incarnation confirms nothing: it is no longer known what the worker runs, and a rejection by the token
    * does not mean that there is another scheduler. The order is sent again.
    */
   async function sendInSession(
@@ -114,10 +104,10 @@
     send: (fencingToken: number) => Promise<OrderResult>,
   ): Promise<Rejection | undefined> {
     const session = findLink(workerId)?.openOrder();
-    if (!session) return Rejection.Unknown;
+    if (!session) return Rejection.Unsent;
     const { rejection, clockMs } = await send(session.fencingToken);
     const isConfirmed = findLink(workerId)?.confirmResponse(session, clockMs);
-    return isConfirmed ? rejection : Rejection.Unknown;
+    return isConfirmed || !hasResponse(rejection) ? rejection : Rejection.Unconfirmed;
   }
 
   /** Returns the lease end for a start order that is sent now; undefined if none may be sent. */
@@ -152,7 +142,7 @@
 
   function sendStop(run: Run, worker: Worker): Promise<Rejection | undefined> {
     // For a worker that had left the registry before this term began, only the id is known.
-    if (worker.entry.address === '') return Promise.resolve(Rejection.Unknown);
+    if (worker.entry.address === '') return Promise.resolve(Rejection.Unsent);
     return sendInSession(run.workerId, (fencingToken) =>
       workers.stop(worker.entry, {
         task: getTaskName(run),
@@ -194,6 +184,50 @@
     else onRejected(run, Rejection.Late);
   }
 
+  /** Checks whether the order of a run is sent now, and settles the start where it never will be again. */
+  async function prepareStart(run: Run, worker: Worker, hasAttempted: boolean): Promise<StartStep> {
+    if (run.phase === RunPhase.Stopping) return StartStep.Settled;
+    if (hasAttempted && !run.isStartUncertain) {
+      // A report of the worker has listed the run.
+      options.onStarted(run);
+      return StartStep.Settled;
+    }
+    if (isTerminalState(run.step.job.state) && !run.isStartUncertain) {
+      onRejected(run, Rejection.Late);
+      return StartStep.Settled;
+    }
+    const mayHaveRun = hasAttempted || run.isStartUncertain;
+    if (!mayHaveRun && lacksValidTicket(run)) {
+      // The ticket expired while the start was being stored.
+      counts.notSent += 1;
+      logOrder('start-not-sent', run, { reason: Rejection.Ticket });
+      onRejected(run, Rejection.Ticket);
+      return StartStep.Settled;
+    }
+    const obstacle = options.findObstacle(run, worker);
+    if (obstacle === StartObstacle.Stale) return StartStep.Wait;
+    if (obstacle !== undefined) {
+      await withdrawStart(run, obstacle, mayHaveRun);
+      return StartStep.Settled;
+    }
+    return StartStep.Send;
+  }
+
+  function recordStart(run: Run): void {
+    run.isStartUncertain = false;
+    run.progressAtMs = clock.now();
+    if (run.phase === RunPhase.Ordered) run.phase = RunPhase.Running;
+    options.onStarted(run);
+  }
+
+  async function handleRejection(run: Run, rejection: Rejection, mayHaveRun: boolean) {
+    counts.rejected += 1;
+    logOrder('start-rejected', run, { reason: rejection, mayHaveRun });
+    if (rejection === Rejection.Fenced) options.onFenced();
+    else if (mayHaveRun) await stop(run, 'an earlier start order got no response');
+    else if (findHoldingWorker(state, run)) onRejected(run, rejection);
+  }
+
   async function start(run: Run): Promise<void> {
     // A report may clear `isStartUncertain`, but an order that may have been sent may still have run.
     let hasAttempted = false;
@@ -202,58 +236,28 @@
       worker && !hasEnded();
       worker = findHoldingWorker(state, run)
     ) {
-      if (run.phase === RunPhase.Stopping) return;
-      if (hasAttempted && !run.isStartUncertain) {
-        // A report of the worker has listed the run.
-        options.onStarted(run);
-        return;
-      }
-      if (isTerminalState(run.step.job.state) && !run.isStartUncertain) {
-        onRejected(run, Rejection.Late);
-        return;
-      }
-      const mayHaveRun = hasAttempted || run.isStartUncertain;
-      if (!mayHaveRun && lacksValidTicket(run)) {
-        // The ticket expired while the start was being stored.
-        counts.notSent += 1;
-        logOrder('start-not-sent', run, { reason: Rejection.Ticket });
-        onRejected(run, Rejection.Ticket);
-        return;
-      }
-      const obstacle = options.findObstacle(run, worker);
-      if (obstacle === StartObstacle.Stale) {
-        await clock.sleep(startRetryDelayMs);
-        continue;
-      }
-      if (obstacle !== undefined) {
-        await withdrawStart(run, obstacle, mayHaveRun);
-        return;
-      }
-      const leaseUntilMs = findLeaseEnd(run, worker);
+      const step = await prepareStart(run, worker, hasAttempted);
+      if (step === StartStep.Settled) return;
+      const leaseUntilMs = step === StartStep.Send ? findLeaseEnd(run, worker) : undefined;
       if (leaseUntilMs === undefined) {
         await clock.sleep(startRetryDelayMs);
         continue;
       }
+      const mayHaveRun: boolean = hasAttempted || run.isStartUncertain;
       run.isStartUncertain = true;
-      hasAttempted = true;
       const outcome = await sendStart(run, worker, leaseUntilMs);
       if (outcome === undefined) {
-        run.isStartUncertain = false;
-        run.progressAtMs = clock.now();
-        if (run.phase === RunPhase.Ordered) run.phase = RunPhase.Running;
-        options.onStarted(run);
+        recordStart(run);
         return;
       }
-      if (outcome !== Rejection.Unknown) {
-        counts.rejected += 1;
-        logOrder('start-rejected', run, { reason: outcome, mayHaveRun });
-        if (outcome === Rejection.Fenced) options.onFenced();
-        else if (mayHaveRun) await stop(run, 'an earlier start order got no response');
-        else if (findHoldingWorker(state, run)) onRejected(run, outcome);
+      if (!isInconclusive(outcome)) {
+        await handleRejection(run, outcome, mayHaveRun);
         return;
       }
+      hasAttempted = mayHaveRun || outcome !== Rejection.Unsent;
+      if (!hasAttempted) run.isStartUncertain = false;
       counts.unanswered += 1;
-      logOrder('start-unanswered', run, {});
+      logOrder('start-unanswered', run, { reason: outcome });
       await clock.sleep(startRetryDelayMs);
     }
   }
--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -6,8 +6,8 @@
 import { RunPhase } from '../scheduler/mod.ts';
 import type { Run } from '../scheduler/mod.ts';
 import { makeOrders } from '../testing/fake_orders.ts';
-import { computeOrderTimes } from './_orders.ts';
 import { StartObstacle } from './_start_conditions.ts';
+import { computeOrderTimes } from './_start_report.ts';
 
 const test = suite('order sender');
 
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -31,12 +31,13 @@
   restoreJobs,
 } from './_job_rows.ts';
 import { makeLoadReport } from './_load_report.ts';
-import { makeOrderSender, computeOrderTimes } from './_orders.ts';
+import { makeOrderSender } from './_orders.ts';
 import type { OrderSender } from './_orders.ts';
 import { makePassRunner } from './_pass_runner.ts';
 import type { PassRunner } from './_pass_runner.ts';
 import { makeRetention } from './_retention.ts';
 import { findStartObstacle } from './_start_conditions.ts';
+import { computeOrderTimes } from './_start_report.ts';
 import { makePressureCache } from './_pressure_cache.ts';
 import type { Term, TermOptions } from './_term_state.ts';
 import { makeTableWatcher } from './table_watcher.ts';
--- a/src/host/worker_relays.ts
+++ b/src/host/worker_relays.ts
@@ -112,7 +112,7 @@
           : { result: Rejection.Unknown };
       },
       Right: ({ result = Rejection.Unknown, ...rest }) => {
-        if (result === Rejection.Unknown) {
+        if (result === Rejection.Unknown || result === Rejection.Unsent) {
           directUntilMs.set(worker.id, clock.now() + directCallsMs);
         }
         return { result, ...rest };
--- a/src/model/worker.ts
+++ b/src/model/worker.ts
@@ -93,7 +93,11 @@
   /** Another incarnation responds at the address. */
   OtherIncarnation: 'other-incarnation',
   Malformed: 'malformed',
-  /** No usable response: the order may have been carried out, or may still be. */
+  /** The order was certainly not sent. */
+  Unsent: 'unsent',
+  /** A response that does not tell whether the order was carried out; it will not be any more. */
+  Unconfirmed: 'unconfirmed',
+  /** No response: the order may have been carried out, or may still be. */
   Unknown: 'unknown',
 } as const;
 
