--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -14,6 +14,7 @@
   updateFreeCapacity,
   findStalledRuns,
   getJobId,
+  hasLateStart,
 } from '../scheduler/mod.ts';
 import type { Run, Worker } from '../scheduler/mod.ts';
 import { makeFencingTokens } from './_fencing_tokens.ts';
@@ -199,8 +200,11 @@
   }
 
   /** Returns when a run on an unresponsive worker has ended, whatever incarnation carried out its start. */
-  function getExpiryMs(run: Run, link: WorkerLink): number {
-    if (mayStartInIncarnation(run, link.newestIncarnationMs())) return link.lateStartsExpireAtMs();
+  function getExpiryMs(run: Run, link: WorkerLink | undefined): number {
+    if (!link) return term.predecessorLeasesEndAtMs;
+    const mayStartLate =
+      hasLateStart(run) || mayStartInIncarnation(run, link.newestIncarnationMs());
+    if (mayStartLate) return link.lateStartsExpireAtMs();
     return run.isStartUncertain ? link.uncertainStartsExpireAtMs() : link.leasesExpireAtMs();
   }
 
@@ -210,7 +214,7 @@
     const link = links.get(id)?.link;
     const leasesExpireAtMs = link?.leasesExpireAtMs() ?? term.predecessorLeasesEndAtMs;
     if (nowMs < leasesExpireAtMs) return;
-    const lost = listLostRunEnds(worker, (run) => !link || nowMs >= getExpiryMs(run, link));
+    const lost = listLostRunEnds(worker, (run) => nowMs >= getExpiryMs(run, link));
     if (lost.length > 0) {
       log.warn('worker lost', {
         event: 'worker-lost',
--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -14,6 +14,7 @@
 import { StartObstacle } from './_start_conditions.ts';
 import { makeStartOrderCounts } from './_start_report.ts';
 import type { StartOrderCounts } from './_start_report.ts';
+import { maxCallDelayMs } from './worker_link.ts';
 import type { WorkerLink } from './worker_link.ts';
 
 /** Sends start and stop orders to workers. */
@@ -116,18 +117,19 @@
     return isSynced ? findLink(workerId)?.leaseUntilMs() : undefined;
   }
 
-  function sendStart(
+  async function sendStart(
     run: Run,
     worker: Worker,
     leaseUntilMs: number,
   ): Promise<Rejection | undefined> {
-    const { step, index, attempt } = run;
+    const { step, index, attempt, hasTicket } = run;
     const ticket = step.advice.tickets.get(run.workerId);
     const { checkpoint } = step.tasks[index]!;
     run.sentAtMs ??= clock.now();
     run.sends += 1;
     counts.sent += 1;
-    return sendInSession(run.workerId, (fencingToken) =>
+    if (!hasTicket) run.lateStartUntilMs = clock.now() + maxCallDelayMs;
+    const outcome = await sendInSession(run.workerId, (fencingToken) =>
       workers.start(worker.entry, {
         task: getTaskName(run),
         attempt,
@@ -138,6 +140,8 @@
         ...(ticket ? { ticket: ticket.value } : {}),
       }),
     );
+    if (outcome !== Rejection.Unknown) run.lateStartUntilMs = -Infinity;
+    return outcome;
   }
 
   function sendStop(run: Run, worker: Worker): Promise<Rejection | undefined> {
@@ -257,7 +261,7 @@
       hasAttempted = mayHaveRun || outcome !== Rejection.Unsent;
       if (!hasAttempted) run.isStartUncertain = false;
       counts.unanswered += 1;
-      logOrder('start-unanswered', run, { reason: outcome });
+      logOrder('start-unanswered', run, { reason: outcome, hasTicket: run.hasTicket });
       await clock.sleep(startRetryDelayMs);
     }
   }
--- a/src/cell/worker_link.ts
+++ b/src/cell/worker_link.ts
@@ -63,7 +63,8 @@
   uncertainStartsExpireAtMs(): number;
   /**
    * The same for runs whose start orders may be carried out late by an incarnation that has not
-   * reported yet.
+   * reported yet. A renewal that is carried out even later extends their leases, so the time counts from
+   * the last call with a lease, not from their own orders.
    */
   lateStartsExpireAtMs(): number;
   /** Start time of the newest incarnation; infinite if a response outside its own sessions has shown it. */
@@ -113,7 +114,7 @@
 /** Longest timeout of an order; one without a response may be carried out until then. */
 export const maxOrderTimeoutMs = 1_200;
 /** Longest delay with which a call without a response may be carried out. */
-const maxCallDelayMs = 12_000;
+export const maxCallDelayMs = 12_000;
 
 /**
  * Makes a link to a worker.
--- a/src/host/unknown_incarnation_test.ts
+++ b/src/host/unknown_incarnation_test.ts
@@ -48,6 +48,17 @@
     .map(({ attempt }) => attempt);
 }
 
+/** Submits the job with one task, whose first start order gets no response until it is carried out. */
+async function submitWithoutResponse(cluster: TestCluster, job: object) {
+  const holdBackStart = async (worker: WorkerStandin) => ({
+    worker,
+    carryOut: await worker.holdBackStart(),
+  });
+  const heldBack = Promise.race(cluster.standin.workers.map(holdBackStart));
+  await submit(cluster, longJobNumber, job);
+  return heldBack;
+}
+
 // Guards against a second run of a task whose start was carried out by an incarnation that was not known yet.
 [
   { responds: true, outcome: 'with a response', submittedAfterMs: 0 },
@@ -77,13 +88,7 @@
   const cluster = await startTestCluster({ hosts: 1, workers: 2 });
   try {
     await keepBusy(cluster);
-    const holdBackStart = async (worker: WorkerStandin) => ({
-      worker,
-      carryOut: await worker.holdBackStart(),
-    });
-    const heldBack = Promise.race(cluster.standin.workers.map(holdBackStart));
-    await submit(cluster, longJobNumber, makeJob(60_000));
-    const { worker, carryOut } = await heldBack;
+    const { worker, carryOut } = await submitWithoutResponse(cluster, makeJob(60_000));
     worker.setUnresponsive(true);
     worker.crash();
     await systemClock.sleep(5_000);
--- a/src/scheduler/jobs.ts
+++ b/src/scheduler/jobs.ts
@@ -178,6 +178,7 @@
       attempt,
       workerId: worker.entry.id,
       incarnationStartMs: worker.incarnationStartMs,
+      hasTicket: step.advice.tickets.has(worker.entry.id),
     },
     nowMs,
   );
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -153,7 +153,10 @@
       worker.isRegistered = false;
       state.workers.set(workerId, worker);
     }
-    const run = makeRun({ step, index, attempt, workerId, incarnationStartMs }, nowMs);
+    const run = makeRun(
+      { step, index, attempt, workerId, incarnationStartMs, hasTicket: false },
+      nowMs,
+    );
     run.isRestored = true;
     task.runs.push(run);
     allocateRun(state, worker, run);
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -41,8 +41,15 @@
   progressAtMs: number;
   /** A start order is being sent, or was sent and may still take effect. */
   isStartUncertain: boolean;
-  /** Restored from the store: a predecessor may have sent the start order any number of times. */
+  /** Restored from the store: a predecessor may have sent the start order. */
   isRestored: boolean;
+  /** The start order carries a ticket, so that a later incarnation of the worker rejects it. */
+  hasTicket: boolean;
+  /**
+   * Monotonic time until which a start order without a response may be carried out, in any incarnation of
+   * the worker; -Infinity once a response or the worker's list accounts for it.
+   */
+  lateStartUntilMs: number;
 }
 
 /** A task of a step and its progress. */
@@ -247,7 +254,7 @@
 
 /** Creates a run in phase `ordered`. */
 export function makeRun(
-  fields: Pick<Run, 'step' | 'index' | 'attempt' | 'workerId' | 'incarnationStartMs'>,
+  fields: Pick<Run, 'step' | 'index' | 'attempt' | 'workerId' | 'incarnationStartMs' | 'hasTicket'>,
   nowMs: number,
 ): Run {
   return {
@@ -261,6 +268,7 @@
     progressAtMs: nowMs,
     isStartUncertain: false,
     isRestored: false,
+    lateStartUntilMs: -Infinity,
   };
 }
 
--- a/src/scheduler/workers.ts
+++ b/src/scheduler/workers.ts
@@ -1,7 +1,7 @@
 /**
  * Updates runs and workers from the reports of workers, and detects lost and stalled runs.
  */
-import { RunEnd } from '../model/mod.ts';
+import { isTerminalState, RunEnd } from '../model/mod.ts';
 import type { WorkerReport } from '../model/mod.ts';
 import { formatRunKey, getRunKey, recordCheckpoint, RunPhase } from './state.ts';
 import type { CellState, Run, Worker } from './state.ts';
@@ -45,6 +45,7 @@
       run.progressAtMs = nowMs;
     }
     run.isStartUncertain = false;
+    run.lateStartUntilMs = -Infinity;
     run.step.job.hasConfirmedStart = true;
     if (percent !== run.percent) {
       run.percent = percent;
@@ -68,6 +69,14 @@
   return isRepeated && incarnationStartMs > run.incarnationStartMs;
 }
 
+/**
+ * Whether a start order without a response may be carried out late, or may have been. A fencing token
+ * prevents that in the current incarnation only. After the end of the job no other attempt can overlap.
+ */
+export function hasLateStart({ lateStartUntilMs, step }: Run): boolean {
+  return lateStartUntilMs > -Infinity && !isTerminalState(step.job.state);
+}
+
 /** Whether a start order may still take effect, or took effect after the report was requested. */
 function mayStillStart(run: Run, sentAtMs: number): boolean {
   return run.phase === RunPhase.Ordered || run.isStartUncertain || run.progressAtMs >= sentAtMs;
