--- a/src/cell/_fleet.ts
+++ b/src/cell/_fleet.ts
@@ -23,7 +23,7 @@
 import { progressRow } from './rows.ts';
 import { forEachRow } from './table_watcher.ts';
 import type { Term } from './_term_state.ts';
-import { makeWorkerLink } from './worker_link.ts';
+import { makeWorkerLink, maxCallDelayMs } from './worker_link.ts';
 import type { WorkerLink } from './worker_link.ts';
 
 /** The workers of the cell and the links to them. */
@@ -201,7 +201,8 @@
 
   /** Returns when a run on an unresponsive worker has ended, whatever incarnation carried out its start. */
   function getExpiryMs(run: Run, link: WorkerLink | undefined): number {
-    if (!link) return term.predecessorLeasesEndAtMs;
+    const { predecessorLeasesEndAtMs } = term;
+    if (!link) return predecessorLeasesEndAtMs + (hasLateStart(run) ? maxCallDelayMs : 0);
     const mayStartLate =
       hasLateStart(run) || mayStartInIncarnation(run, link.newestIncarnationMs());
     if (mayStartLate) return link.lateStartsExpireAtMs();
--- a/src/cell/_job_rows.ts
+++ b/src/cell/_job_rows.ts
@@ -104,11 +104,11 @@
 
 /** Restores the progress stored by predecessors; jobs and workers must have been added before. */
 export function restoreJobs(term: Term, rows: StoredRow[]): void {
-  const { state, clock } = term;
+  const { state, clock, predecessorOrdersEndAtMs: lateStartsUntilMs } = term;
   forEachRow(rows, term.log, ({ key, value }) => {
     const job = state.jobs.get(key);
     const record = JSON.parse(value) as JobRecord;
-    if (job) restoreProgress(state, job, record, clock.now());
+    if (job) restoreProgress(state, job, record, { nowMs: clock.now(), lateStartsUntilMs });
     else if (isTerminalState(record.state)) addEndedJob(state, key, record.state, clock.now());
   });
 }
--- a/src/cell/_leases.ts
+++ b/src/cell/_leases.ts
@@ -4,7 +4,7 @@
  * A scheduler without the store may have a successor, which waits for the leases at each worker that it
  * cannot reach. The time without the store is therefore short, and the leases cover the rest of an outage.
  */
-import { maxClockDriftFactor, maxOrderTimeoutMs } from './worker_link.ts';
+import { maxCallDelayMs, maxClockDriftFactor, maxOrderTimeoutMs } from './worker_link.ts';
 
 const normalLeaseMs = 4_500;
 /** A store without a commit for this long may have an outage. */
@@ -22,6 +22,16 @@
   return sinceCommitMs < maxRenewalWithoutStoreMs;
 }
 
+/** Returns how long after a claim predecessors may send orders; those sent just before it count as well. */
+function getLastPredecessorOrderMs(predecessorMayAct: boolean): number {
+  return predecessorMayAct ? maxRenewalWithoutStoreMs : maxOrderTimeoutMs;
+}
+
+/** Returns how long after a claim workers may carry out start orders of predecessors. */
+export function getMaxPredecessorOrderMs(predecessorMayAct: boolean): number {
+  return getLastPredecessorOrderMs(predecessorMayAct) + maxCallDelayMs;
+}
+
 /**
  * Returns how long the leases from predecessors may last after a claim.
  *
@@ -35,7 +45,5 @@
   maxLeaseMs: number;
   predecessorMayAct: boolean;
 }): number {
-  // Orders that were sent just before the claim may be carried out after it.
-  const lastOrderAfterMs = predecessorMayAct ? maxRenewalWithoutStoreMs : maxOrderTimeoutMs;
-  return maxLeaseMs * maxClockDriftFactor + lastOrderAfterMs;
+  return maxLeaseMs * maxClockDriftFactor + getLastPredecessorOrderMs(predecessorMayAct);
 }
--- a/src/cell/_orders.ts
+++ b/src/cell/_orders.ts
@@ -1,9 +1,13 @@
 /**
  * Sends start and stop orders to workers and retries them until their outcome is certain.
  *
- * A start order without a response may still be carried out later. It is sent again unchanged, which
- * is idempotent at the worker. If the scheduler gives the attempt up before its lease has expired, it
- * stops it at the worker, which from then on also rejects a start order that arrives late.
+ * A start order without a response may still be carried out later, also by the next incarnation of the
+ * worker, which knows no earlier attempts. One with a ticket, which that incarnation rejects, is sent again
+ * unchanged; this is idempotent at the worker. Any other is not repeated, so that at most one copy is under
+ * way, and its task is not started elsewhere until the worker has listed the run or the copy is too old.
+ *
+ * If the scheduler gives the attempt up before its lease has expired, it stops it at the worker, which
+ * from then on also rejects a start order that arrives late.
  */
 import type { Clock } from '../clock/mod.ts';
 import type { Logger } from '../logs/mod.ts';
@@ -63,7 +67,7 @@
   return outcome !== Rejection.Unknown && outcome !== Rejection.Unsent;
 }
 
-/** Whether an order has to be sent again. */
+/** Whether an order has to be sent again, unless it may still be carried out late. */
 function isInconclusive(outcome: Rejection | undefined): boolean {
   return !hasResponse(outcome) || outcome === Rejection.Unconfirmed;
 }
@@ -188,6 +192,12 @@
     else onRejected(run, Rejection.Late);
   }
 
+  /** Gives up a start whose order got no response, and which the worker has not listed for as long as it may start. */
+  async function giveUpStart(run: Run): Promise<void> {
+    counts.givenUp += 1;
+    await stop(run, 'the start order was not carried out in time');
+  }
+
   /** Checks whether the order of a run is sent now, and settles the start where it never will be again. */
   async function prepareStart(run: Run, worker: Worker, hasAttempted: boolean): Promise<StartStep> {
     if (run.phase === RunPhase.Stopping) return StartStep.Settled;
@@ -214,7 +224,10 @@
       await withdrawStart(run, obstacle, mayHaveRun);
       return StartStep.Settled;
     }
-    return StartStep.Send;
+    if (run.lateStartUntilMs === -Infinity) return StartStep.Send;
+    if (run.lateStartUntilMs > clock.now()) return StartStep.Wait;
+    await giveUpStart(run);
+    return StartStep.Settled;
   }
 
   function recordStart(run: Run): void {
--- a/src/cell/_orders_test.ts
+++ b/src/cell/_orders_test.ts
@@ -6,11 +6,20 @@
 import { RunPhase } from '../scheduler/mod.ts';
 import type { Run } from '../scheduler/mod.ts';
 import { makeOrders } from '../testing/fake_orders.ts';
+import type { OrderOutcomes } from '../testing/fake_orders.ts';
 import { StartObstacle } from './_start_conditions.ts';
 import { computeOrderTimes } from './_start_report.ts';
 
 const test = suite('order sender');
 
+/** Makes orders for a run with a ticket, whose start is repeated until there is a response. */
+function makeTicketedOrders(
+  outcomes: OrderOutcomes,
+  onRejected?: (rejection: Rejection) => void,
+): ReturnType<typeof makeOrders> {
+  return makeOrders(outcomes, onRejected, undefined, { hasTicket: true });
+}
+
 test('a stop at a worker that has left the registry waits until its address is known', async () => {
   const asked: string[] = [];
   const { state, run, orders } = makeOrders({
@@ -80,19 +89,20 @@
 // Guards against a load line that cannot tell a late process from one whose orders are rejected.
 test('the counts of start orders tell what became of them, and start anew', async () => {
   const outcomes = [Rejection.Unknown, Rejection.NoRoom];
-  const { run, orders } = makeOrders({
+  const { run, orders } = makeTicketedOrders({
     start: async () => outcomes.shift(),
     stop: async () => undefined,
   });
   await orders.start(run);
-  assert.equal(orders.takeReport(), { sent: 2, unanswered: 1, rejected: 1, notSent: 0 });
-  assert.equal(orders.takeReport(), { sent: 0, unanswered: 0, rejected: 0, notSent: 0 });
+  const noOrders = { sent: 0, unanswered: 0, givenUp: 0, rejected: 0, notSent: 0 };
+  assert.equal(orders.takeReport(), { ...noOrders, sent: 2, unanswered: 1, rejected: 1 });
+  assert.equal(orders.takeReport(), noOrders);
 });
 
 test('a start that was sent is not rejected when its ticket expires before the response', async () => {
   const rejected: Rejection[] = [];
   let sent = 0;
-  const { run, orders } = makeOrders(
+  const { run, orders } = makeTicketedOrders(
     {
       async start() {
         sent += 1;
@@ -209,7 +219,7 @@
 
 test('the log distinguishes a start sent late or repeatedly from one with a late response', async () => {
   let sent = 0;
-  const { run, orders } = makeOrders({
+  const { run, orders } = makeTicketedOrders({
     async start() {
       sent += 1;
       return sent === 1 ? Rejection.Unknown : undefined;
--- a/src/cell/_start_report.ts
+++ b/src/cell/_start_report.ts
@@ -9,6 +9,8 @@
   sent: number;
   /** Orders without a response. */
   unanswered: number;
+  /** Orders of those that were given up, since the worker did not list the run for as long as it may start. */
+  givenUp: number;
   /** Orders that the worker rejected. */
   rejected: number;
   /** Decided starts that were not sent, since their conditions had changed. */
@@ -17,7 +19,7 @@
 
 /** Makes counts of zero. */
 export function makeStartOrderCounts(): StartOrderCounts {
-  return { sent: 0, unanswered: 0, rejected: 0, notSent: 0 };
+  return { sent: 0, unanswered: 0, givenUp: 0, rejected: 0, notSent: 0 };
 }
 
 /** Computes the times since the decision to start a run, for its log line. */
--- a/src/cell/_term_state.ts
+++ b/src/cell/_term_state.ts
@@ -44,6 +44,8 @@
   endSignal: AbortSignal;
   /** Monotonic time until which leases from predecessors may last. */
   predecessorLeasesEndAtMs: number;
+  /** Monotonic time until which workers may carry out start orders of predecessors. */
+  predecessorOrdersEndAtMs: number;
   /** Marks a job's progress row as changed. */
   markJobDirty(job: Job): void;
   /** Schedules a pass. */
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -19,7 +19,7 @@
 import { heartbeatIntervalMs, isCalmTerm } from './_heartbeat_age.ts';
 import { makeFleet } from './_fleet.ts';
 import type { Fleet } from './_fleet.ts';
-import { getMaxPredecessorLeaseMs } from './_leases.ts';
+import { getMaxPredecessorLeaseMs, getMaxPredecessorOrderMs } from './_leases.ts';
 import {
   readAcceptedJobs,
   readJobRows,
@@ -116,6 +116,7 @@
     state,
     endSignal: endController.signal,
     predecessorLeasesEndAtMs: startedAtMs + getMaxPredecessorLeaseMs(options),
+    predecessorOrdersEndAtMs: startedAtMs + getMaxPredecessorOrderMs(options.predecessorMayAct),
     writer: components.writer,
     markJobDirty: (job) => markJobDirty(components.writer, job),
     schedulePass: () => components.passRunner.schedule(),
@@ -143,6 +144,8 @@
     },
     onStarted(run) {
       run.step.job.hasConfirmedStart = true;
+      // A successor does not wait for a late start of a run that is stored as started.
+      if (!run.hasTicket) term.markJobDirty(run.step.job);
       log.info('started', {
         event: 'started',
         id: run.step.job.accepted.id,
--- a/src/host/unknown_incarnation_test.ts
+++ b/src/host/unknown_incarnation_test.ts
@@ -12,6 +12,10 @@
 const busyMs = 2_000;
 /** Longest lease that a worker grants. */
 const maxLeaseMs = 6_000;
+/** A worker that does not respond for this long needs a new session. */
+const sessionEndMs = 3_500;
+/** By then a start order without a response was repeated, or its task was started elsewhere and is done. */
+const repeatMs = 1_500;
 /** Number of the job whose only task may run once at a time. */
 const longJobNumber = 0;
 
@@ -100,4 +104,30 @@
   }
 });
 
+// Guards against a second run of a task that was done meanwhile, by a repeat or on another worker.
+[
+  { isSilent: false, worker: 'a worker that responds' },
+  { isSilent: true, worker: 'a worker that was out of reach for a while' },
+].forEach(({ isSilent, worker: description }) =>
+  test(`a start that ${description} has not carried out runs once if its next incarnation does`, async () => {
+    const cluster = await startTestCluster({ hosts: 1, workers: 2 });
+    try {
+      await keepBusy(cluster);
+      const { worker, carryOut } = await submitWithoutResponse(cluster, makeJob(100));
+      worker.setUnresponsive(isSilent);
+      await systemClock.sleep(sessionEndMs);
+      worker.setUnresponsive(false);
+      await systemClock.sleep(repeatMs);
+      worker.setUnresponsive(true);
+      worker.crash();
+      await carryOut();
+      worker.setUnresponsive(false);
+      await cluster.waitForState(`/batch/${makeJobId(longJobNumber)}`, 'completed');
+      assert.equal(listAttempts(cluster), [1]);
+    } finally {
+      await cluster.close();
+    }
+  }),
+);
+
 test.run();
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -10,11 +10,13 @@
 import { areRanges, extendRanges, forEachInRanges } from './_ranges.ts';
 import type { NumberRange } from './_ranges.ts';
 import { allocateRun } from './resource_accounting.ts';
-import { makeRun, makeWorker } from './state.ts';
-import type { CellState, Job, Step, Task } from './state.ts';
+import { makeRun, makeWorker, RunPhase } from './state.ts';
+import type { CellState, Job, Run, Step, Task } from './state.ts';
 
-/** A stored run. */
-type RunRecord = [worker: string, incarnationStartMs: number, attempt: number];
+/** A stored run; the last field is there if its start order may be carried out late. */
+type RunRecord =
+  | [worker: string, incarnationStartMs: number, attempt: number]
+  | [worker: string, incarnationStartMs: number, attempt: number, mayStartLate: 1];
 
 /**
  * A stored task. Tasks that were never started, and done tasks without runs, are left out. The last
@@ -44,12 +46,16 @@
 /** Checkpoints of a job are stored up to this total size; without one a lost run starts over. */
 const maxCheckpointBytes = 150_000;
 
+function encodeRun(run: Run): RunRecord {
+  const { workerId, incarnationStartMs, attempt, hasTicket, phase, lateStartUntilMs } = run;
+  // The order of a run that waits for its decision to be stored is sent without another write.
+  const mayStartLate = lateStartUntilMs > -Infinity || (phase === RunPhase.Ordered && !hasTicket);
+  const record: RunRecord = [workerId, incarnationStartMs, attempt];
+  return mayStartLate ? [...record, 1] : record;
+}
+
 function encodeTask(task: Task, index: number): TaskRecord {
-  const runs = task.runs.map(({ workerId, incarnationStartMs, attempt }): RunRecord => [
-    workerId,
-    incarnationStartMs,
-    attempt,
-  ]);
+  const runs = task.runs.map(encodeRun);
   return [
     index,
     task.attempt,
@@ -129,14 +135,21 @@
   };
 }
 
+/** Monotonic times for the restored runs. */
+export interface RestoreTimes {
+  nowMs: number;
+  /** Until when start orders of predecessors may be carried out. */
+  lateStartsUntilMs: number;
+}
+
 function restoreRuns(
   state: CellState,
   { step, index }: { step: Step; index: number },
   runs: RunRecord[],
-  nowMs: number,
+  { nowMs, lateStartsUntilMs }: RestoreTimes,
 ): void {
   const task = step.tasks[index]!;
-  runs.forEach(([workerId, incarnationStartMs, attempt]) => {
+  runs.forEach(([workerId, incarnationStartMs, attempt, mayStartLate]) => {
     let worker = state.workers.get(workerId);
     if (!worker) {
       // The worker has left the registry but may still execute its runs.
@@ -153,11 +166,11 @@
       worker.isRegistered = false;
       state.workers.set(workerId, worker);
     }
-    const run = makeRun(
-      { step, index, attempt, workerId, incarnationStartMs, hasTicket: false },
-      nowMs,
-    );
+    // A run that certainly does not start late is treated like one with a ticket.
+    const hasTicket = mayStartLate === undefined;
+    const run = makeRun({ step, index, attempt, workerId, incarnationStartMs, hasTicket }, nowMs);
     run.isRestored = true;
+    if (mayStartLate) run.lateStartUntilMs = lateStartsUntilMs;
     task.runs.push(run);
     allocateRun(state, worker, run);
   });
@@ -173,27 +186,27 @@
   state: CellState,
   step: Step,
   [index, attempt, failures, done, checkpoint, runs, lastFailedAttempt = 0]: TaskRecord,
-  nowMs: number,
+  times: RestoreTimes,
 ): void {
   const { job } = step;
   Object.assign(step.tasks[index]!, { attempt, failures, lastFailedAttempt, checkpoint });
   if (done === 1) restoreDoneTask(step, index);
   else job.startedTasks += 1;
   if (failures > 0 || checkpoint !== '') job.hasConfirmedStart = true;
-  restoreRuns(state, { step, index }, runs, nowMs);
+  restoreRuns(state, { step, index }, runs, times);
 }
 
 /**
  * Restores the stored progress of a job that was just added.
  *
  * @example
- * restoreProgress(state, job, JSON.parse(row.value) as JobRecord, clock.now());
+ * restoreProgress(state, job, record, { nowMs: clock.now(), lateStartsUntilMs });
  */
 export function restoreProgress(
   state: CellState,
   job: Job,
   record: JobRecord,
-  nowMs: number,
+  times: RestoreTimes,
 ): void {
   const { completed = [] } = record;
   if (!areRanges(completed)) throw new Error('expected ascending ranges of complete occurrences');
@@ -201,7 +214,7 @@
   job.storedState = record.state;
   if (job.state !== JobState.Queued) job.wait = undefined;
   if (isTerminalState(job.state)) {
-    job.endedAtMs = nowMs;
+    job.endedAtMs = times.nowMs;
     state.activeJobs.delete(job);
   }
   if (completed.length > 0) job.hasConfirmedStart = true;
@@ -209,7 +222,7 @@
   record.occurrences.forEach(([occurrence, stepRecords, done = []]) => {
     const steps = ensureSteps(job, occurrence);
     stepRecords.forEach((tasks, stepIndex) => {
-      tasks.forEach((taskRecord) => restoreTask(state, steps[stepIndex]!, taskRecord, nowMs));
+      tasks.forEach((taskRecord) => restoreTask(state, steps[stepIndex]!, taskRecord, times));
     });
     done.forEach((ranges, stepIndex) =>
       forEachInRanges(ranges, (index) => restoreDoneTask(steps[stepIndex]!, index)),
--- a/src/scheduler/records_test.ts
+++ b/src/scheduler/records_test.ts
@@ -47,7 +47,7 @@
   const state = cellWithWorkers(12, 32_000);
   const restored = addJob(state, accepted, 0);
   const record = JSON.parse(JSON.stringify(encodeProgress(job))) as JobRecord;
-  restoreProgress(state, restored, record, 0);
+  restoreProgress(state, restored, record, { nowMs: 0, lateStartsUntilMs: 0 });
   return { state, job: restored };
 }
 
@@ -106,7 +106,7 @@
 
   const successor = makeCellState();
   const restored = addJob(successor, accepted, 0);
-  restoreProgress(successor, restored, record, 100);
+  restoreProgress(successor, restored, record, { nowMs: 100, lateStartsUntilMs: 0 });
   const [step] = restored.occurrences.get(0)!;
   assert.is(step!.remainingTasks, 3);
   assert.is(restored.startedTasks, 3);
@@ -215,11 +215,15 @@
     const record = JSON.parse(
       `{"state":"running","occurrences":[],"completed":${text}}`,
     ) as JobRecord;
-    assert.throws(() => restoreProgress(cellWithWorkers(1), job, record, 0), /ranges/, text);
+    assert.throws(
+      () => restoreProgress(cellWithWorkers(1), job, record, { nowMs: 0, lateStartsUntilMs: 0 }),
+      /ranges/,
+      text,
+    );
   });
   const job = submit(cellWithWorkers(1), accepted);
   const large: JobRecord = { state: 'running', occurrences: [], completed: [[5, 1e15]] };
-  restoreProgress(cellWithWorkers(1), job, large, 0);
+  restoreProgress(cellWithWorkers(1), job, large, { nowMs: 0, lateStartsUntilMs: 0 });
   assert.equal(job.completedOccurrences, [[5, 1e15]]);
 });
 
--- a/src/scheduler/waiting_test.ts
+++ b/src/scheduler/waiting_test.ts
@@ -61,7 +61,7 @@
   const successor = cellWithWorkers(1);
   const restored = submit(successor, accepted);
   assert.ok(restored.wait);
-  restoreProgress(successor, restored, encodeProgress(job), 0);
+  restoreProgress(successor, restored, encodeProgress(job), { nowMs: 0, lateStartsUntilMs: 0 });
   assert.is(restored.wait, undefined);
 });
 
--- a/src/scheduler/workers.ts
+++ b/src/scheduler/workers.ts
@@ -71,7 +71,8 @@
 
 /**
  * Whether a start order without a response may be carried out late, or may have been. A fencing token
- * prevents that in the current incarnation only. After the end of the job no other attempt can overlap.
+ * prevents that in the current incarnation only: until the order is too old, another attempt could overlap
+ * with this one, or this one could follow the end of another. After the end of the job there is no other.
  */
 export function hasLateStart({ lateStartUntilMs, step }: Run): boolean {
   return lateStartUntilMs > -Infinity && !isTerminalState(step.job.state);
@@ -79,7 +80,8 @@
 
 /** Whether a start order may still take effect, or took effect after the report was requested. */
 function mayStillStart(run: Run, sentAtMs: number): boolean {
-  return run.phase === RunPhase.Ordered || run.isStartUncertain || run.progressAtMs >= sentAtMs;
+  const isOrdered = run.phase === RunPhase.Ordered && !run.isRestored;
+  return isOrdered || run.isStartUncertain || run.progressAtMs >= sentAtMs;
 }
 
 /**
@@ -107,8 +109,8 @@
   report: WorkerReport,
   { nowMs, sentAtMs }: { nowMs: number; sentAtMs: number },
 ): Reconciliation {
-  // The session's fencing token now blocks all earlier orders: a run that was ordered before and is not
-  // in the first complete list has not started and never will.
+  // The session's fencing token now blocks all earlier orders in this incarnation: a run that was ordered
+  // before and is not in the first complete list has not started.
   const isFirst = !worker.isSynced;
   worker.incarnationStartMs = report.incarnationStartMs;
   if (!worker.isResponsive || nowMs - worker.reportedAtMs > maxReportGapMs) {
@@ -118,7 +120,9 @@
   worker.isResponsive = true;
   worker.isSynced ||= !report.hasMoreEnds;
   const listed = new Set([...report.running, ...report.ended].map(formatRunKey));
-  const mayStart = (run: Run) => (isFirst ? isUnsent(run) : mayStillStart(run, sentAtMs));
+  const mayStart = (run: Run) =>
+    (hasLateStart(run) && sentAtMs < run.lateStartUntilMs) ||
+    (isFirst ? isUnsent(run) : mayStillStart(run, sentAtMs));
   const mayExist = (run: Run) => listed.has(getRunKey(run)) || mayStart(run);
   adoptRuns(worker, report, mayExist);
   recordProgress(worker, report, nowMs);
--- a/src/testing/fake_orders.ts
+++ b/src/testing/fake_orders.ts
@@ -6,6 +6,7 @@
 import type { StartObstacle } from '../cell/_start_conditions.ts';
 import type { WorkerLink } from '../cell/worker_link.ts';
 import { systemClock } from '../clock/mod.ts';
+import type { Clock } from '../clock/mod.ts';
 import { silentLogger } from '../logs/mod.ts';
 import type { Rejection, WorkerClient } from '../model/mod.ts';
 import { decideStarts } from '../scheduler/mod.ts';
@@ -35,11 +36,14 @@
   {
     getToken = () => 1,
     onFenced = () => {},
-  }: { getToken?: () => number; onFenced?: () => void } = {},
+    hasTicket = false,
+    clock = systemClock,
+  }: { getToken?: () => number; onFenced?: () => void; hasTicket?: boolean; clock?: Clock } = {},
 ): { state: CellState; run: Run; orders: OrderSender } {
   const state = cellWithWorkers(1);
   submit(state, acceptedJob('a', [stepSpec()]));
   const [run] = decideStarts(state, decisionInputs()).starts;
+  run!.hasTicket = hasTicket;
   const link: Pick<WorkerLink, 'leaseUntilMs' | 'openOrder' | 'confirmResponse'> = {
     leaseUntilMs: () => 1_000,
     openOrder: () => ({ fencingToken: getToken(), earliestClockMs: undefined }),
@@ -48,7 +52,7 @@
   const orders = makeOrderSender({
     state,
     workers: makeWorkers(outcomes) as WorkerClient,
-    clock: systemClock,
+    clock,
     log: silentLogger,
     findLink: () => link as Partial<WorkerLink> as WorkerLink,
     hasEnded: () => false,
