--- a/src/cell/_start_conditions.ts
+++ b/src/cell/_start_conditions.ts
@@ -2,8 +2,7 @@
  * Conditions of a start that may change between its decision and each time that its order is sent: the
  * order waits for the store first, and it is sent again for as long as there is no response.
  */
-import { fits, toUpperBound } from '../model/mod.ts';
-import type { Resources } from '../model/mod.ts';
+import { isStartWithinLimit } from '../scheduler/mod.ts';
 import type { Run, Worker } from '../scheduler/mod.ts';
 import type { Term } from './_term_state.ts';
 
@@ -25,10 +24,6 @@
 /** A scheduler whose operator state is older starts nothing. */
 export const maxOperatorStateAgeMs = 1_700;
 
-function isWithin(usage: Resources | undefined, upperLimit: Resources | undefined): boolean {
-  return !usage || !upperLimit || fits(usage, toUpperBound(upperLimit));
-}
-
 /**
  * Returns why the start order of a run must not be sent now; undefined if it may be.
  *
@@ -51,7 +46,7 @@
   if (entry.isDraining) return StartObstacle.Draining;
   if (current.evacuated.has(entry.dataCentre)) return StartObstacle.Evacuated;
   if (queue && queue.service !== entry.service) return StartObstacle.Service;
-  return isWithin(state.usage.get(organisationName), organisation?.upperLimit)
+  return isStartWithinLimit(run.step, state.usage.get(organisationName), organisation?.upperLimit)
     ? undefined
     : StartObstacle.Limit;
 }
--- a/src/front/_new_job.ts
+++ b/src/front/_new_job.ts
@@ -1,8 +1,8 @@
 /**
  * The stored form of a job that a client submits.
  */
-import type { AcceptedJob, JobSpec } from '../model/mod.ts';
-import { maxStartedTasks } from '../scheduler/mod.ts';
+import type { AcceptedJob, JobSpec, Resources } from '../model/mod.ts';
+import { exceedsUpperLimit, maxStartedTasks } from '../scheduler/mod.ts';
 import type { RoutedRequest } from './_routed_request.ts';
 
 /** Makes the stored form of a job from the request that submits it. */
@@ -37,3 +37,12 @@
   if (bytes > maxJobBytes) return `the job takes ${bytes} bytes, expected at most ${maxJobBytes}`;
   return undefined;
 }
+
+/** Returns which step of a job cannot run within its organisation's upper limit; undefined if all can. */
+export function findLimitProblem(
+  { steps }: JobSpec,
+  upperLimit: Resources | undefined,
+): string | undefined {
+  const step = steps.findIndex((spec) => exceedsUpperLimit(spec, upperLimit));
+  return step < 0 ? undefined : `step ${step} exceeds the upper limit of the organisation`;
+}
--- a/src/front/_retry_after.ts
+++ b/src/front/_retry_after.ts
@@ -9,7 +9,7 @@
 import type { JobSpec, Queue } from '../model/mod.ts';
 
 const minRetryAfterS = 1;
-const maxRetryAfterS = 3;
+export const maxRetryAfterS = 3;
 /** Attempts that a client is expected to make. */
 const expectedAttempts = 4;
 const msPerS = 1_000;
--- a/src/front/_routed_request.ts
+++ b/src/front/_routed_request.ts
@@ -4,7 +4,7 @@
 import { Left, Right } from 'purify-ts';
 import type { Either } from 'purify-ts';
 
-import type { Organisation, Queue } from '../model/mod.ts';
+import type { Organisation, Queue, Resources } from '../model/mod.ts';
 import { respondError } from './_responses.ts';
 import type { ClientRequest, ClientResponse } from './_responses.ts';
 import type { RouteTable } from './routes.ts';
@@ -13,6 +13,8 @@
 export interface RoutedRequest extends ClientRequest {
   queue: Queue;
   organisation: string;
+  /** Upper limit of the organisation; undefined for a request without one. */
+  upperLimit: Resources | undefined;
   jobId: string;
 }
 
@@ -33,5 +35,11 @@
   const organisation: Organisation | undefined =
     request.key === undefined ? undefined : routeTable.findOrganisation(request.key);
   if (!organisation && !queue.isPublic) return Left(respondError(401, 'the key is not known'));
-  return Right({ ...request, queue, organisation: organisation?.name ?? '', jobId: rest });
+  return Right({
+    ...request,
+    queue,
+    organisation: organisation?.name ?? '',
+    upperLimit: organisation?.upperLimit,
+    jobId: rest,
+  });
 }
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -16,11 +16,11 @@
 import type { AcceptedJob, JobSpec, Store } from '../model/mod.ts';
 import { relayOrRefuse, respondError, respondOk, respondRetryLater } from './_responses.ts';
 import type { ClientRequest, ClientResponse, Relay } from './_responses.ts';
-import { computeRetryAfterS } from './_retry_after.ts';
+import { computeRetryAfterS, maxRetryAfterS } from './_retry_after.ts';
 import type { SchedulerClient } from './scheduler_client.ts';
 import { authorise } from './_routed_request.ts';
 import type { RoutedRequest } from './_routed_request.ts';
-import { findSizeProblem, makeAcceptedJob } from './_new_job.ts';
+import { findLimitProblem, findSizeProblem, makeAcceptedJob } from './_new_job.ts';
 import { makeJobWriter, RowStatus } from './job_writer.ts';
 import type { RouteTable } from './routes.ts';
 
@@ -132,6 +132,10 @@
     const job = makeAcceptedJob(request, spec, clock.wallTime());
     const problem = findSizeProblem(job, options.maxJobBytes);
     if (problem !== undefined) return rejectTooLarge(request, problem);
+    const limitProblem = findLimitProblem(spec, request.upperLimit);
+    if (limitProblem !== undefined) {
+      return refuse({ ...request, retryAfterS: maxRetryAfterS }, limitProblem);
+    }
     log.info('job received', {
       event: 'job-received',
       id: request.jobId,
--- a/src/front/front_test.ts
+++ b/src/front/front_test.ts
@@ -131,6 +131,33 @@
   assert.is(store.rows.size, 0);
 });
 
+/** Makes a route table whose only organisation has this upper limit. */
+function makeLimitedRoutes(cpu: number) {
+  const { organisations, ...rest } = configuration();
+  const upperLimit = { cpu, memoryMb: 0, gpu: 0 };
+  return makeRouteTable({
+    ...rest,
+    organisations: organisations.map((organisation) => ({ ...organisation, upperLimit })),
+  });
+}
+
+// Guards against a job that is accepted and never runs, as its organisation's limit was lowered before.
+test('a job with a step above the upper limit is refused at once, unless it was stored before', async () => {
+  let limitCpu = 4_000;
+  const steps = [stepSpec(), stepSpec({ cpu: 4_000 })];
+  const { store, send } = setUp({
+    getRoutes: () => makeLimitedRoutes(limitCpu),
+    decodeJob: () => Right({ payload: '', steps }),
+  });
+  assert.is((await send('POST')).status, 200);
+  limitCpu = 3_999;
+  assert.is((await send('POST')).status, 200);
+  const response = await send('POST', '/batch/00000000000000a2');
+  assert.is(response.status, 429);
+  assert.is(response.retryAfterS, 3);
+  assert.is(store.rows.size, 1);
+});
+
 test('a job that is already stored is accepted again while its queue is busy', async () => {
   let isBusy = false;
   const { send } = setUp({ isOverloaded: () => isBusy });
--- a/src/scheduler/_place_step.ts
+++ b/src/scheduler/_place_step.ts
@@ -9,7 +9,6 @@
 import {
   chooseGangWorkers,
   chooseWorkers,
-  countTasksWithinLimit,
   filterCompatibleWorkers,
   hasCapacity,
   isEligible,
@@ -26,6 +25,7 @@
 } from './tickets.ts';
 import type { PendingAdviceRequest } from './tickets.ts';
 import type { CellState, QueueTerms, Run, Step, Worker } from './state.ts';
+import { countTasksWithinLimit } from './upper_limit.ts';
 import { recordWait } from './waiting.ts';
 
 /**
--- a/src/scheduler/mod.ts
+++ b/src/scheduler/mod.ts
@@ -11,6 +11,7 @@
 export * from './pressure.ts';
 export * from './records.ts';
 export * from './tickets.ts';
+export { exceedsUpperLimit, isStartWithinLimit } from './upper_limit.ts';
 export * from './waiting.ts';
 export * from './workers.ts';
 export { updateFreeCapacity } from './resource_accounting.ts';
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -9,15 +9,7 @@
  * gangs; gangs go to the workers that fit most members, if possible within one rack where the step
  * prefers that.
  */
-import {
-  addResources,
-  countFittingCopies,
-  fits,
-  noResources,
-  subtractResources,
-  toUpperBound,
-} from '../model/mod.ts';
-import type { Resources } from '../model/mod.ts';
+import { countFittingCopies, fits } from '../model/mod.ts';
 import { getTaskAllocation } from './resource_accounting.ts';
 import type { Step, Worker } from './state.ts';
 
@@ -180,17 +172,3 @@
   }
   return fitGang(step, workers);
 }
-
-/** Counts how many further tasks of the step fit into its organisation's upper limit. */
-export function countTasksWithinLimit(
-  step: Step,
-  usage: Resources | undefined,
-  upperLimit: Resources | undefined,
-): number {
-  if (!upperLimit) return Infinity;
-  const limit = toUpperBound(upperLimit);
-  const { need } = step.spec;
-  const used = usage ?? noResources;
-  if (!fits(addResources(used, need), limit)) return 0;
-  return countFittingCopies(need, subtractResources(limit, used));
-}
