Refuse jobs that no worker of their service could run

A task larger than any worker, a label that no worker has, or a gang wider than all workers together was accepted with 200 and waited until it was cancelled.

Cause: acceptance knew the load, but not the size of tasks.

Ruled out: a check in every entry process, which would have to follow the registry; and one of accepted jobs, which are owed whatever the fleet is by now.

Change: the scheduler refuses such a job, with 429. It compares with the registered workers as if they were empty, whether they are responsive, draining or evacuated, and refuses nothing while it knows none of the service. A job that an entry process stores while no scheduler responds is not checked.

Measured: unit tests and a test of the scheduler's service, which accepted the job before.

--- a/src/cell/service.ts
+++ b/src/cell/service.ts
@@ -15,7 +15,7 @@
 /** Result of submitting a job to the scheduler. */
 export const SubmitResult = {
   Stored: 'stored',
-  /** The job was refused because of overload or its organisation's limit; nothing was written. */
+  /** The job was refused for lack of capacity or because of its organisation's limit; nothing was written. */
   Overloaded: 'overloaded',
   /** No scheduler that can write at the moment was reached; nothing was written. */
   NotTaken: 'not-taken',
--- a/src/cell/service_test.ts
+++ b/src/cell/service_test.ts
@@ -2,10 +2,12 @@
 import * as assert from 'uvu/assert';
 
 import { systemClock } from '../clock/mod.ts';
-import { acceptedJob, stepSpec } from '../testing/fake_cell.ts';
+import type { WorkerClient, WorkerEntry } from '../model/mod.ts';
+import { acceptedJob, stepSpec, workerEntry } from '../testing/fake_cell.ts';
 import { makeFakeStore } from '../testing/fake_store.ts';
 import type { TransactionOutcome } from '../testing/fake_store.ts';
 import { makeClaimedTerm, withDelayedWatch } from '../testing/fake_term.ts';
+import { neverSettled } from '../testing/fake_worker_link.ts';
 import { acceptedRow } from './rows.ts';
 import { SubmitResult } from './service.ts';
 import type { SchedulerTerm } from './term.ts';
@@ -14,9 +16,15 @@
 
 async function withTerm(
   run: (term: SchedulerTerm, store: ReturnType<typeof makeFakeStore>) => Promise<void>,
+  { workers = [] }: { workers?: WorkerEntry[] } = {},
 ): Promise<void> {
   const inner = makeFakeStore();
-  const term = await makeClaimedTerm(withDelayedWatch(inner));
+  const rows = workers.map(({ id }) => ({ table: 'servers', part: '', key: id, value: '' }));
+  await inner.transact({ expected: [], writes: rows, deletes: [] });
+  const term = await makeClaimedTerm(withDelayedWatch(inner), {
+    decodeWorker: ({ key }) => workers.find(({ id }) => id === key),
+    workers: { renewLease: () => neverSettled } as Partial<WorkerClient> as WorkerClient,
+  });
   assert.is(
     await term.service.submit(acceptedJob('early', [stepSpec()])),
     SubmitResult.NotTaken,
@@ -60,6 +68,18 @@
     assert.is(await service.cancel('unknown'), false);
   }));
 
+// Guards against a job that is accepted and waits for ever.
+test('a job that no worker could run is refused and not stored', () =>
+  withTerm(
+    async ({ service }, store) => {
+      const large = acceptedJob('a1', [stepSpec({ cpu: 8_001 })]);
+      assert.is(await service.submit(large), SubmitResult.Overloaded);
+      assert.is(store.getValue(acceptedRow('a1').table, acceptedRow('a1').key), undefined);
+      assert.is(await service.submit(acceptedJob('a2', [stepSpec()])), SubmitResult.Stored);
+    },
+    { workers: [workerEntry('w1', { cpu: 8_000 })] },
+  ));
+
 test('a failing store leaves the result unknown, and then no further job is accepted', () =>
   withTerm(async ({ service }, store) => {
     store.setOutcome(() => 'rejected');
--- a/src/cell/term.ts
+++ b/src/cell/term.ts
@@ -14,6 +14,8 @@
   makeCellState,
   getRefusalReason,
   getTaskName,
+  isServable,
+  RefusalReason,
 } from '../scheduler/mod.ts';
 import { makeRunEndHandler } from './_run_end_handler.ts';
 import { heartbeatIntervalMs, isCalmTerm } from './_heartbeat_age.ts';
@@ -173,7 +175,10 @@
   const pressureCache = makePressureCache(term);
   const service = makeSchedulerService(term, endHandler, {
     isLoaded: () => loadedAtMs !== undefined,
-    findRefusalReason: (job) => getRefusalReason(pressureCache.current(), job),
+    findRefusalReason(job) {
+      if (!isServable(job, state.workers)) return RefusalReason.Capacity;
+      return getRefusalReason(pressureCache.current(), job);
+    },
   });
   const readRegistry = () => store.read({ table: options.registryTable, part: '' });
 
--- a/src/scheduler/decide_test.ts
+++ b/src/scheduler/decide_test.ts
@@ -130,20 +130,6 @@
   assert.is(pass(state, 0, { config }).starts.length, 3);
 });
 
-test('a gang that would exceed the limit of its organisation waits', () => {
-  const state = cellWithWorkers(4);
-  const config = configuration();
-  submit(state, acceptedJob('a', [stepSpec({ count: 4, gang: true })]));
-  const countStarts = (cpu: number) => {
-    config.organisations[0]!.upperLimit = { cpu, memoryMb: 0, gpu: 0 };
-    return pass(state, 0, { config }).starts.length;
-  };
-  assert.is(countStarts(2_999), 0, 'by more than one of its tasks');
-  state.usage.set('mill', { cpu: 1, memoryMb: 0, gpu: 0 });
-  assert.is(countStarts(4_000), 0, 'beside what runs');
-  assert.is(countStarts(4_001), 4);
-});
-
 test('an occurrence does not start before its due time', () => {
   const state = cellWithWorkers(1);
   const repetition = { count: 2, startAtMs: 1_000, intervalMs: 500 };
--- a/src/scheduler/mod.ts
+++ b/src/scheduler/mod.ts
@@ -10,6 +10,7 @@
 export * from './pass.ts';
 export * from './pressure.ts';
 export * from './records.ts';
+export { isServable } from './servable.ts';
 export * from './tickets.ts';
 export { exceedsUpperLimit, isStartWithinLimit } from './upper_limit.ts';
 export * from './waiting.ts';
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -11,6 +11,7 @@
  */
 import { countFittingCopies, fits } from '../model/mod.ts';
 import { getTaskAllocation } from './resource_accounting.ts';
+import { canServe } from './servable.ts';
 import type { Step, Worker } from './state.ts';
 
 /** Conditions under which workers accept new tasks. */
@@ -40,9 +41,7 @@
 
 /** Whether a worker belongs to the service and has the label that the step requires. */
 export function isEligible(worker: Worker, step: Step, service: string): boolean {
-  const { requirement } = step.spec;
-  if (worker.entry.service !== service) return false;
-  return requirement === undefined || worker.entry.labels.includes(requirement);
+  return canServe(worker.entry, step.spec, service);
 }
 
 function countTasksOn(step: Step, workerId: string): number {
--- a/src/scheduler/pressure.ts
+++ b/src/scheduler/pressure.ts
@@ -175,6 +175,8 @@
   Limit: 'limit',
   /** Its queue is busy, and its organisation has used up its share. */
   Share: 'share',
+  /** No worker could run one of its tasks, or all of them together one of its gangs. */
+  Capacity: 'capacity',
 } as const;
 
 /** One of the values of {@link RefusalReason}. */
--- a/src/scheduler/resource_accounting.ts
+++ b/src/scheduler/resource_accounting.ts
@@ -4,12 +4,13 @@
  */
 import { addResources, multiplyResources, noResources, subtractResources } from '../model/mod.ts';
 import type { Resources } from '../model/mod.ts';
+import { getAllocation } from './servable.ts';
 import { getRunKey } from './state.ts';
 import type { CellState, Reservation, Run, Step, Worker } from './state.ts';
 
-/** Returns what a task allocates on its worker; one that fills idle capacity allocates no CPU. */
+/** Returns what a task of the step allocates on its worker. */
 export function getTaskAllocation({ spec }: Step): Resources {
-  return spec.fillsIdleCapacity ? { ...spec.need, cpu: 0 } : spec.need;
+  return getAllocation(spec);
 }
 
 /** Recomputes the free capacity of a worker after a change of its capacity or of what is held. */
--- a/src/scheduler/upper_limit_test.ts
+++ b/src/scheduler/upper_limit_test.ts
@@ -63,6 +63,15 @@
   }),
 );
 
+test('a gang that would exceed the limit of its organisation waits', () => {
+  const state = cellWithWorkers(4);
+  submit(state, acceptedJob('a', [stepSpec({ count: 4, gang: true })]));
+  assert.is(countStarts(state, makeLimit(2_999)), 0, 'by more than one of its tasks');
+  state.usage.set('mill', makeLimit(1));
+  assert.is(countStarts(state, makeLimit(4_000)), 0, 'beside what runs');
+  assert.is(countStarts(state, makeLimit(4_001)), 4);
+});
+
 // Guards against a job that is accepted although its organisation's limit never lets it run.
 test('a step exceeds a limit with any resource, and a gang with all its tasks together', () => {
   const need = { cpu: 4_000, memoryMb: 100, gpu: 1 };
