Test withdrawn starts that come late, and workers that their relay cannot connect to

Both are paths of the mended class without a test. Comments of the order counts say what is counted since orders that could not be sent have a reason of their own.

--- a/src/cell/_late_starts_test.ts
+++ b/src/cell/_late_starts_test.ts
@@ -6,6 +6,7 @@
 import { Rejection } from '../model/mod.ts';
 import { reconcileReport, RunPhase } from '../scheduler/mod.ts';
 import { makeOrders } from '../testing/fake_orders.ts';
+import { StartObstacle } from './_start_conditions.ts';
 
 const test = suite('start orders that may be carried out late');
 
@@ -77,6 +78,39 @@
   }),
 );
 
+// Guards against a second attempt beside a start that was withdrawn, and that a later incarnation carries out.
+test('a start that is withdrawn without a response may still come late', async () => {
+  const clock = makeSleepClock();
+  let obstacle: StartObstacle | undefined;
+  const { state, run, orders } = makeOrders(
+    {
+      async start() {
+        obstacle = StartObstacle.Evacuated;
+        return Rejection.Unknown;
+      },
+      stop: async () => undefined,
+    },
+    undefined,
+    () => obstacle,
+    { clock },
+  );
+  await orders.start(run);
+  assert.is(run.phase, RunPhase.Stopping);
+  const worker = state.workers.get(run.workerId)!;
+  const countEnds = (sentAtMs: number) => {
+    const report = {
+      clockMs: 1,
+      incarnationStartMs: 2,
+      running: [],
+      ended: [],
+      hasMoreEnds: false,
+    };
+    return reconcileReport(worker, report, { nowMs: sentAtMs, sentAtMs }).ends.length;
+  };
+  assert.is(countEnds(maxCallDelayMs - 1), 0);
+  assert.is(countEnds(maxCallDelayMs), 1);
+});
+
 // Guards against an attempt that is stopped although it runs, as only the worker's list shows it.
 test('a start without a response counts as started once the worker has listed the run', async () => {
   const calls: string[] = [];
--- a/src/cell/_start_report.ts
+++ b/src/cell/_start_report.ts
@@ -7,9 +7,9 @@
 export interface StartOrderCounts {
   /** Orders sent, including repeated ones. */
   sent: number;
-  /** Orders without a response. */
+  /** Orders without a response that tells their outcome, and orders that could not be sent. */
   unanswered: number;
-  /** Orders of those that were given up, since the worker did not list the run for as long as it may start. */
+  /** Starts given up since the worker did not list the run for as long as its order may be carried out. */
   givenUp: number;
   /** Orders that the worker rejected. */
   rejected: number;
--- a/src/host/worker_relays_test.ts
+++ b/src/host/worker_relays_test.ts
@@ -164,19 +164,22 @@
 });
 
 // Guards against a worker that is unreachable for its relay only, and would count as lost.
-test('a worker that does not respond to its relay is called directly for a while', async () => {
-  const { calls, state, startAll, startOne } = setUp(async () =>
-    Right({ result: Rejection.Unknown }),
-  );
-  await startAll();
-  calls.length = 0;
-  assert.is(await startOne(), undefined);
-  assert.equal(calls, ['direct']);
-  state.nowMs += 5_001;
-  calls.length = 0;
-  await startOne();
-  assert.not.equal(calls, ['direct']);
-});
+[
+  { result: Rejection.Unknown, description: 'does not respond to its relay' },
+  { result: Rejection.Unsent, description: 'its relay cannot connect to' },
+].forEach(({ result, description }) =>
+  test(`a worker that ${description} is called directly for a while`, async () => {
+    const { calls, state, startAll, startOne } = setUp(async () => Right({ result }));
+    await startAll();
+    calls.length = 0;
+    assert.is(await startOne(), undefined);
+    assert.equal(calls, ['direct']);
+    state.nowMs += 5_001;
+    calls.length = 0;
+    await startOne();
+    assert.not.equal(calls, ['direct']);
+  }),
+);
 
 // Guards against a start through a relay whose response cannot tell a new incarnation from the former one.
 test('the clock in the response to an order arrives through a relay', async () => {
