--- a/src/front/_retry_after.ts
+++ b/src/front/_retry_after.ts
@@ -9,6 +9,7 @@
 import type { JobSpec, Queue } from '../model/mod.ts';
 
 const minRetryAfterS = 1;
+/** Also the Retry-After of a job that no waiting helps, as its organisation's limit is too low. */
 export const maxRetryAfterS = 3;
 /** Attempts that a client is expected to make. */
 const expectedAttempts = 4;
--- a/src/scheduler/records.ts
+++ b/src/scheduler/records.ts
@@ -135,7 +135,7 @@
   };
 }
 
-/** Monotonic times for the restored runs. */
+/** Monotonic times at which a job is restored, and that its runs depend on. */
 export interface RestoreTimes {
   nowMs: number;
   /** Until when start orders of predecessors may be carried out. */
